Serve the platform's requests end to end through an adapter

The library gains a gateway: routes by host and path, servers that register themselves, answers and raw event streams passed on unchanged, a retry budget per service and watched sources. platform/ decodes the platform's settings, rows and headers and holds no decision.

--- /dev/null
+++ b/src/decide/retry_window/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+const BOUND: FleetBound = FleetBound {
+    ratio: 0.2,
+    slack: 54.0,
+    window_ms: 10_000,
+};
+
+#[test]
+fn take_sum_over_routers_stays_in_the_fleet_bound() {
+    let routers = 7;
+    let mut windows: Vec<RetryWindow> = (0..routers).map(|_| RetryWindow::default()).collect();
+    let mut retries = 0;
+    for (index, window) in windows.iter_mut().enumerate() {
+        // Shares of the traffic are uneven.
+        for at_ms in 0..(index as u64 * 50) {
+            window.request(at_ms, &BOUND);
+        }
+        retries += (0..500)
+            .filter(|_| window.take(5_000, &BOUND, routers))
+            .count();
+    }
+    let requests: usize = windows.iter().map(|w| w.requests_ms.len()).sum();
+    assert!(retries as f64 <= 0.2 * requests as f64 + 54.0);
+    assert!(
+        retries > requests / 10,
+        "the bound is hardly used: {retries}"
+    );
+}
+
+#[test]
+fn take_forgets_what_left_the_window() {
+    let mut window = RetryWindow::default();
+    while window.take(0, &BOUND, 1) {}
+    assert!(!window.take(10_000, &BOUND, 1));
+    assert!(window.take(10_001, &BOUND, 1));
+}
--- a/src/filter/preempt.rs
+++ b/src/filter/preempt.rs
@@ -72,7 +72,7 @@
 pub fn watch(response: Response<Body>, guard: FreeGuard) -> Response<Body> {
     response.map(|body| {
         let start = Watched::Running(body, Arc::new(guard));
-        StreamBody::new(futures_util::stream::unfold(start, next_part)).boxed()
+        StreamBody::new(futures_util::stream::unfold(start, next_part)).boxed_unsync()
     })
 }
 
--- a/src/filter/relay/stream.rs
+++ b/src/filter/relay/stream.rs
@@ -49,7 +49,7 @@
         return Verdict::Continue;
     };
     let (sender, receiver) = async_channel::bounded::<Part>(QUEUE_EVENTS);
-    let body = EventBody::new(receiver).boxed();
+    let body = EventBody::new(receiver).boxed_unsync();
     let mut response = relay::head(context, &upstream, body);
     response
         .headers_mut()
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,179 @@
+//! Requests routed by host and path to servers that register themselves, with answers and
+//! streams passed on unchanged.
+//!
+//! The protocols of callers and backend servers, and the sources of routes and servers, are
+//! given from outside.
+
+pub mod ask;
+pub mod attempt;
+pub mod place;
+pub mod protocol;
+pub mod rejection;
+pub mod request;
+pub mod state;
+pub mod stream;
+pub mod watch;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+use crate::admin::text;
+use crate::config::routing::RoutingTable;
+use crate::decide::registry::Registration;
+use crate::edge::clock::{Clock, HostClock};
+use crate::error::Result;
+use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
+use crate::gateway::state::{GatewaySettings, RoutingFollower, ServerFollower, State};
+use crate::gateway::watch::{Pace, Source, follow};
+use crate::http::pool::Pool;
+use crate::http::server::{Server, ServerLimits};
+use crate::runtime::Runtime;
+
+/// What a gateway meets outside.
+pub struct Edges {
+    /// Protocol of the callers.
+    pub callers: Box<dyn CallerProtocol>,
+    /// Protocol of the backend servers.
+    pub backends: Box<dyn BackendProtocol>,
+    /// Where the routes are.
+    pub routes: Arc<dyn Source<RoutingTable>>,
+    /// Where the servers register.
+    pub servers: Arc<dyn Source<Registration>>,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    state: Arc<State>,
+    callers: Server,
+    ready: Server,
+}
+
+/// Longest wait for a connection to a backend server: all are within a few ms, and a lost
+/// packet is sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for which the source of the routes may hold back an answer. A connection may
+/// fall silent, so this bounds how long a change can go unnoticed.
+const ROUTES_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause between looks at the routes.
+const ROUTES_PAUSE: Duration = Duration::from_millis(100);
+/// Part of the time a leaving server may still get requests that passes between looks at
+/// the servers.
+const SERVERS_PAUSE_PART: u64 = 4;
+/// Time between looks at what is still open during a planned stop.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Time for which new connections are accepted after the order to stop: the platform sends
+/// callers here until it has asked twice, a second apart.
+const STOP_ACCEPT: Duration = Duration::from_millis(2_300);
+/// Time before the kill at which the process ends by itself.
+const STOP_MARGIN_MS: u64 = 500;
+
+impl Gateway {
+    /// Starts a gateway.
+    pub fn spawn(settings: GatewaySettings, runtime: &Runtime, edges: Edges) -> Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(HostClock::open());
+        let pool = Pool::open(runtime.clone(), CONNECT_TIMEOUT);
+        let state = Arc::new(State::open(
+            settings,
+            runtime.clone(),
+            clock,
+            pool,
+            edges.callers,
+            edges.backends,
+        ));
+        let ready = bind_ready(&state)?;
+        let callers = bind_callers(&state)?;
+        let routes = Arc::new(RoutingFollower(Arc::clone(&state)));
+        let routes_pace = Pace {
+            wait: ROUTES_WAIT,
+            pause: ROUTES_PAUSE,
+        };
+        runtime.detach(follow("routes", edges.routes, routes, routes_pace));
+        let servers = Arc::new(ServerFollower(Arc::clone(&state)));
+        let servers_pace = Pace {
+            wait: ROUTES_WAIT,
+            pause: Duration::from_millis(state.settings.leave_ms / SERVERS_PAUSE_PART),
+        };
+        runtime.detach(follow("servers", edges.servers, servers, servers_pace));
+        log::info!(
+            "event=started router={} zone={} callers={} ready={}",
+            state.settings.name,
+            state.settings.zone,
+            callers.address(),
+            ready.address(),
+        );
+        Ok(Self {
+            state,
+            callers,
+            ready,
+        })
+    }
+
+    /// Address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Address of the readiness check.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready.address()
+    }
+
+    /// State that the requests share.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Stops without cutting off a request, as far as the time until the kill allows.
+    pub async fn stop(self) {
+        let started_ms = self.state.now_ms();
+        let limit_ms = self.state.settings.stop_ms.saturating_sub(STOP_MARGIN_MS);
+        self.state.begin_stop();
+        log::info!("event=stopping requests={}", self.state.in_flight());
+        smol::Timer::after(STOP_ACCEPT.min(Duration::from_millis(limit_ms / 2))).await;
+        self.callers.stop();
+        let is_busy = || self.callers.connections() > 0 || self.state.in_flight() > 0;
+        while is_busy() && self.state.now_ms() < started_ms + limit_ms {
+            smol::Timer::after(STOP_POLL).await;
+        }
+        self.ready.stop();
+        log::info!("event=stopped requests_left={}", self.state.in_flight());
+    }
+}
+
+fn bind_ready(state: &Arc<State>) -> Result<Server> {
+    let asked = Arc::clone(state);
+    Server::bind(
+        &state.runtime,
+        state.settings.ready,
+        ServerLimits::default(),
+        move |_| {
+            let response = match asked.is_ready() {
+                true => text(StatusCode::OK, "ready\n"),
+                false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            };
+            async move { response }
+        },
+    )
+}
+
+/// Callers may reuse connections for as long as the configuration allows; this is longer than
+/// any limit that it states.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+
+fn bind_callers(state: &Arc<State>) -> Result<Server> {
+    let limits = ServerLimits {
+        connections_max: state.settings.connections_max,
+        idle_timeout: IDLE_TIMEOUT,
+        ..ServerLimits::default()
+    };
+    let shared = Arc::clone(state);
+    Server::bind(
+        &state.runtime,
+        state.settings.listen,
+        limits,
+        move |request| request::handle(Arc::clone(&shared), request),
+    )
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,306 @@
+//! The path of one request: route, team, body, then attempts until a server answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+
+use crate::config::routing::{KeyHolder, Route, RoutingTable};
+use crate::decide::registry::Registration;
+use crate::filter::attempt::within;
+use crate::gateway::ask::{Ask, Sends};
+use crate::gateway::attempt::{self, Answer, Content, Failure, FailureKind, Limits};
+use crate::gateway::place;
+use crate::gateway::protocol::CallerHead;
+use crate::gateway::rejection::Rejection;
+use crate::gateway::state::State;
+use crate::gateway::stream;
+use crate::http::{Body, full_body};
+use crate::ids::RunState;
+
+/// Answers one request.
+pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let arrived_ms = state.now_ms();
+    let (parts, body) = request.into_parts();
+    let head = state.callers.decode(&parts.headers);
+    let id = head.request_id.clone();
+    let _flight = state.enter();
+    let result = match admit(&state, parts, head, body, arrived_ms).await {
+        Ok(ask) => serve(&state, ask).await,
+        Err(rejection) => Err(rejection),
+    };
+    match result {
+        Ok(response) => response,
+        Err(rejection) => {
+            log::info!(
+                "event=rejected id={} status={} code={} after_ms={} retry_after_ms={}",
+                id.as_ref().map_or("-", |id| id.as_str()),
+                rejection.status().as_u16(),
+                rejection.code(),
+                state.now_ms().saturating_sub(arrived_ms),
+                rejection.retry_after_ms().unwrap_or(0),
+            );
+            state.callers.reject(&rejection, id.as_ref())
+        }
+    }
+}
+
+/// Finds out what the request is. The body is read first: an answer before its end would
+/// cost the caller the connection.
+async fn admit(
+    state: &State,
+    parts: Parts,
+    head: CallerHead,
+    body: Incoming,
+    arrived_ms: u64,
+) -> Result<Ask, Rejection> {
+    let routing = state.routing();
+    let limit = routing.as_ref().map_or(0, |r| r.limits.body_bytes);
+    let wait = Duration::from_millis(head.wait_ms.unwrap_or(BODY_WAIT_MS).min(BODY_WAIT_MS));
+    let body = read_body(body, limit.max(BODY_UNKNOWN_MAX_BYTES), wait).await?;
+    let routing = routing.ok_or(Rejection::NoConfiguration)?;
+    let id = head.request_id.clone().ok_or(Rejection::BadRequest)?;
+    let host = place::header_text(&parts.headers, HOST.as_str());
+    let route = routing.route(host, parts.uri.path());
+    let route = Arc::clone(route.ok_or(Rejection::UnknownRoute)?);
+    let holder = holder(&routing, &route, head.key.as_deref())?;
+    let draw = match head.prompt {
+        Some(prompt) => prompt.shared_hash,
+        None => xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()),
+    };
+    let service = route.destination(draw).ok_or(Rejection::NoServer {
+        retry_after_ms: place::retry_after_ms(),
+    })?;
+    let wait_ms = head.wait_ms.unwrap_or(route.timeout_ms);
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    Ok(Ask {
+        id,
+        method: parts.method,
+        path: path.to_owned(),
+        headers: parts.headers,
+        body,
+        service: service.clone(),
+        team: holder.map(|holder| holder.team.clone()),
+        priority: holder.and_then(|h| h.priority).unwrap_or(route.priority),
+        prompt: head.prompt,
+        last_event: head.last_event,
+        arrived_ms,
+        deadline_ms: arrived_ms + wait_ms.min(route.timeout_ms),
+        route,
+    })
+}
+
+/// Longest wait for a body.
+const BODY_WAIT_MS: u64 = 3_000;
+/// Body that is read before a configuration states a limit.
+const BODY_UNKNOWN_MAX_BYTES: usize = 64 * 1024;
+
+async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, Rejection> {
+    let collected = within(wait, Limited::new(body, limit).collect()).await;
+    let collected = collected.ok_or(Rejection::BodyTimeout)?;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
+        Err(_) => Err(Rejection::BodyTimeout),
+    }
+}
+
+fn holder<'a>(
+    routing: &'a RoutingTable,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a KeyHolder>, Rejection> {
+    let Some(keys) = routing.keys.as_ref().filter(|_| !route.is_public) else {
+        return Ok(None);
+    };
+    let holder = key.and_then(|key| keys.get(key));
+    holder.map(Some).ok_or(Rejection::UnknownKey)
+}
+
+async fn serve(state: &Arc<State>, ask: Ask) -> Result<Response<Body>, Rejection> {
+    state.count_request(&ask.service);
+    let mut sends = Sends::default();
+    let answer = attempts(state, &ask, &mut sends, ask.last_event).await?;
+    Ok(match answer.content {
+        Content::Whole(bytes) => {
+            log::info!(
+                "event=answered id={} route={} service={} server={} status={} sends={} ms={}",
+                ask.id,
+                ask.route.name,
+                ask.service,
+                sends.servers.last().map_or("-", |server| server.as_str()),
+                answer.status.as_u16(),
+                sends.servers.len(),
+                state.now_ms().saturating_sub(ask.arrived_ms),
+            );
+            response(state, answer.status, &answer.headers, full_body(bytes))
+        }
+        Content::Stream(source) => {
+            let (status, headers) = (answer.status, answer.headers);
+            let body = stream::open(Arc::clone(state), ask, sends, *source);
+            response(state, status, &headers, body)
+        }
+    })
+}
+
+fn response(
+    state: &State,
+    status: hyper::StatusCode,
+    headers: &hyper::HeaderMap,
+    body: Body,
+) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = state.backends.passed(headers);
+    response
+}
+
+/// Sends the request to servers until one answers.
+pub async fn attempts(
+    state: &Arc<State>,
+    ask: &Ask,
+    sends: &mut Sends,
+    last_event: Option<u64>,
+) -> Result<Answer, Rejection> {
+    let mut fallback = None;
+    loop {
+        let now_ms = state.now_ms();
+        let left_ms = ask.left_ms(now_ms);
+        if left_ms == 0 {
+            return fallback.ok_or_else(|| out_of_time(sends));
+        }
+        let server = match place::pick(state, ask, sends) {
+            Ok(server) => server,
+            Err(rejection) => return fallback.ok_or_else(|| unplaced(sends, rejection)),
+        };
+        sends.servers.push(server.id.clone());
+        let limits = Limits {
+            first_ms: first_wait_ms(ask, sends, left_ms),
+            left_ms,
+            last_event,
+        };
+        match attempt::run(state, ask, &server, limits).await {
+            Ok(answer) => {
+                state.suspects.clear(&server.id);
+                sends.arrived += 1;
+                sends.ran += 1;
+                let is_fault = answer.status.is_server_error();
+                if !is_fault || !may_repeat(state, ask, sends) {
+                    return Ok(answer);
+                }
+                log::info!(
+                    "event=retry id={} server={} status={}",
+                    ask.id,
+                    server.id,
+                    answer.status.as_u16()
+                );
+                fallback = Some(answer);
+            }
+            Err(failure) => {
+                note_failure(state, ask, sends, &server, &failure);
+                if !may_go_on(state, ask, sends, &failure) {
+                    return fallback.ok_or_else(|| given_up(sends, &failure));
+                }
+            }
+        }
+    }
+}
+
+/// Part of the time left that a server has for the begin of its answer, while another one
+/// could still be asked.
+const FIRST_WAIT_PART: u64 = 3;
+
+fn first_wait_ms(ask: &Ask, sends: &Sends, left_ms: u64) -> u64 {
+    let has_more = ask.is_repeatable() && sends.ran + 1 < ask.route.attempts_max;
+    match has_more {
+        true => (left_ms / FIRST_WAIT_PART)
+            .max(ask.route.goal_ms)
+            .min(left_ms),
+        false => left_ms,
+    }
+}
+
+fn note_failure(
+    state: &State,
+    ask: &Ask,
+    sends: &mut Sends,
+    server: &Registration,
+    failure: &Failure,
+) {
+    log::info!(
+        "event=attempt_failed id={} server={} kind={} reason=\"{}\" ms={}",
+        ask.id,
+        server.id,
+        failure.kind.as_str(),
+        failure.reason,
+        state.now_ms().saturating_sub(ask.arrived_ms),
+    );
+    if failure.kind.has_arrived() {
+        sends.arrived += 1;
+    }
+    if failure.kind.run_state() != RunState::NotRun {
+        sends.ran += 1;
+    }
+    match failure.kind {
+        FailureKind::Connect | FailureKind::Broken => {
+            state.suspects.note(&server.id, state.now_ms());
+        }
+        FailureKind::Timeout => {
+            state.suspects.note(&server.id, state.now_ms());
+            state.pool.forget(server.address);
+        }
+        FailureKind::Misdirected => state.misdirected(&server.id),
+        FailureKind::Foreign | FailureKind::NotRun => {}
+    }
+}
+
+/// Servers that a request is offered to at most, whatever the reasons for which they failed.
+const SENDS_MAX: usize = 4;
+
+/// Whether a request that may have run may run again.
+pub fn may_repeat(state: &State, ask: &Ask, sends: &Sends) -> bool {
+    ask.is_repeatable()
+        && sends.ran < ask.route.attempts_max
+        && sends.servers.len() < SENDS_MAX
+        && state.take_retry(&ask.service)
+}
+
+fn may_go_on(state: &State, ask: &Ask, sends: &Sends, failure: &Failure) -> bool {
+    if sends.ran > 0 {
+        return may_repeat(state, ask, sends);
+    }
+    let has_sends = sends.servers.len() < SENDS_MAX;
+    // What did not arrive costs the servers nothing.
+    has_sends && (!failure.kind.has_arrived() || state.take_retry(&ask.service))
+}
+
+fn out_of_time(sends: &Sends) -> Rejection {
+    match sends.ran {
+        0 => Rejection::NotAccepted {
+            retry_after_ms: place::retry_after_ms(),
+        },
+        _ => Rejection::TimedOut,
+    }
+}
+
+fn unplaced(sends: &Sends, rejection: Rejection) -> Rejection {
+    match sends.ran {
+        0 => rejection,
+        _ => Rejection::AnswerLost,
+    }
+}
+
+fn given_up(sends: &Sends, failure: &Failure) -> Rejection {
+    match (sends.ran, failure.kind) {
+        (0, _) => Rejection::NotAccepted {
+            retry_after_ms: place::retry_after_ms(),
+        },
+        (_, FailureKind::Timeout) => Rejection::TimedOut,
+        _ => Rejection::AnswerLost,
+    }
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,186 @@
+//! Streams: whole events in order and once each, over one server or several.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::unfold;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use crate::gateway::ask::{Ask, Sends};
+use crate::gateway::attempt::{Content, EventSource, StreamBreak};
+use crate::gateway::request::{attempts, may_repeat};
+use crate::gateway::state::{FlightTicket, State};
+use crate::http::raw_events::RawEvent;
+use crate::http::{Body, BodyError};
+
+/// Pauses of the length allowed after which a stream goes on at another server: one such
+/// pause makes it late, and callers leave after eight.
+const STALL_GAPS: u64 = 4;
+/// Pause allowed where the route states none.
+const GAP_DEFAULT_MS: u64 = 1_000;
+
+struct Flow {
+    state: Arc<State>,
+    ask: Ask,
+    sends: Sends,
+    source: Option<EventSource>,
+    last_event: Option<u64>,
+    events: u64,
+    outcome: &'static str,
+    _flight: FlightTicket,
+}
+
+/// The body of a stream that `source` begins.
+pub fn open(state: Arc<State>, ask: Ask, sends: Sends, source: EventSource) -> Body {
+    let flow = Flow {
+        _flight: state.enter(),
+        last_event: ask.last_event,
+        events: 0,
+        outcome: "caller_gone",
+        source: Some(source),
+        state,
+        ask,
+        sends,
+    };
+    let parts = unfold(Some(flow), |flow| async {
+        let mut flow = flow?;
+        match flow.next().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(flow))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    StreamBody::new(parts).boxed_unsync()
+}
+
+impl Flow {
+    /// The next events, joined; none at the stream's end.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            let Some(source) = &mut self.source else {
+                return Ok(None);
+            };
+            let left_ms = self.ask.left_ms(self.state.now_ms());
+            if left_ms == 0 {
+                self.outcome = "timed_out";
+                return Err(BodyError::Incomplete("the time for the stream is over"));
+            }
+            let wait_ms = stall_ms(&self.ask).min(left_ms);
+            match source.next(Duration::from_millis(wait_ms)).await {
+                Ok(Some(event)) => {
+                    if let Some(bytes) = self.take(event) {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Ok(None) => {
+                    self.outcome = "complete";
+                    if let Some(source) = self.source.take() {
+                        source.close(&self.state);
+                    }
+                    return Ok(None);
+                }
+                Err(cause) => self.recover(cause).await?,
+            }
+        }
+    }
+
+    /// Joins an event with those that came with it; none where the caller has it already.
+    fn take(&mut self, event: RawEvent) -> Option<Bytes> {
+        let mut joined = BytesMut::new();
+        let mut only = None;
+        let mut next = Some(event);
+        while let Some(event) = next {
+            if self.is_new(&event) {
+                self.events += 1;
+                match only.take() {
+                    None if joined.is_empty() => only = Some(event.bytes),
+                    None => joined.extend_from_slice(&event.bytes),
+                    Some(first) => {
+                        let first: Bytes = first;
+                        joined.extend_from_slice(&first);
+                        joined.extend_from_slice(&event.bytes);
+                    }
+                }
+            }
+            let source = self.source.as_mut()?;
+            // A fault in what follows shows again at the next read.
+            next = source.ready().ok().flatten();
+        }
+        only.or_else(|| (!joined.is_empty()).then(|| joined.freeze()))
+    }
+
+    /// Notes an event's number; false for one that was delivered before.
+    fn is_new(&mut self, event: &RawEvent) -> bool {
+        let Some(id) = event.id else {
+            return true;
+        };
+        let is_new = self.last_event.is_none_or(|last| id > last);
+        if is_new {
+            self.last_event = Some(id);
+        }
+        is_new
+    }
+
+    /// Goes on at another server after a break, where the route allows it.
+    async fn recover(&mut self, cause: StreamBreak) -> Result<(), BodyError> {
+        let server = self.source.as_ref().map(|source| source.server.clone());
+        let may_resume =
+            self.ask.route.can_resume && may_repeat(&self.state, &self.ask, &self.sends);
+        log::info!(
+            "event=stream_broken id={} server={} cause=\"{cause}\" last_event={} resumes={may_resume}",
+            self.ask.id,
+            server.as_ref().map_or("-", |server| server.as_str()),
+            self.last_event.unwrap_or(0),
+        );
+        if !may_resume && cause == StreamBreak::Stalled {
+            // The server may still go on; nothing better is to be had.
+            return Ok(());
+        }
+        // The server stops its work when its connection closes.
+        self.source = None;
+        if let Some(server) = &server {
+            self.state.suspects.note(server, self.state.now_ms());
+        }
+        if !may_resume {
+            self.outcome = "broken";
+            return Err(BodyError::Incomplete("the server broke the stream off"));
+        }
+        let resumed = attempts(&self.state, &self.ask, &mut self.sends, self.last_event).await;
+        match resumed.map(|answer| (answer.status.is_success(), answer.content)) {
+            Ok((true, Content::Stream(source))) => {
+                self.source = Some(*source);
+                Ok(())
+            }
+            Ok(_) => {
+                self.outcome = "resume_refused";
+                Err(BodyError::Incomplete("no server went on with the stream"))
+            }
+            Err(rejection) => {
+                self.outcome = rejection.code();
+                Err(BodyError::Incomplete("no server went on with the stream"))
+            }
+        }
+    }
+}
+
+fn stall_ms(ask: &Ask) -> u64 {
+    STALL_GAPS * ask.route.gap_ms.unwrap_or(GAP_DEFAULT_MS)
+}
+
+impl Drop for Flow {
+    fn drop(&mut self) {
+        log::info!(
+            "event=streamed id={} route={} service={} server={} outcome={} events={} sends={} ms={}",
+            self.ask.id,
+            self.ask.route.name,
+            self.ask.service,
+            self.sends.servers.last().map_or("-", |s| s.as_str()),
+            self.outcome,
+            self.events,
+            self.sends.servers.len(),
+            self.state.now_ms().saturating_sub(self.ask.arrived_ms),
+        );
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod guard;
 pub mod lazy_timer;
 pub mod pool;
+pub mod raw_events;
 pub mod server;
 pub mod socket;
 pub mod sse;
@@ -13,7 +14,7 @@
 use std::convert::Infallible;
 
 use bytes::Bytes;
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use thiserror::Error;
 
@@ -29,11 +30,11 @@
 }
 
 /// Body of the answers that this process gives.
-pub type Body = BoxBody<Bytes, BodyError>;
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
 /// A body of known content.
 pub fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
         .map_err(|never: Infallible| match never {})
-        .boxed()
+        .boxed_unsync()
 }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -69,7 +69,7 @@
 
 struct Idle {
     connection: Connection,
-    since: Instant,
+    until: Instant,
 }
 
 type Shard = Mutex<IndexMap<SocketAddr, Vec<Idle>>>;
@@ -116,7 +116,7 @@
         let mut shard = self.shard().lock();
         let idle = shard.get_mut(&address)?;
         while let Some(entry) = idle.pop() {
-            if entry.connection.is_ready() && entry.since.elapsed() < IDLE_TIMEOUT {
+            if entry.connection.is_ready() && Instant::now() < entry.until {
                 return Some(entry.connection);
             }
         }
@@ -170,13 +170,24 @@
 
     /// Takes back a connection whose answer was read to its end.
     pub fn give_back(&self, address: SocketAddr, connection: Connection) {
+        self.give_back_for(address, connection, IDLE_TIMEOUT);
+    }
+
+    /// Takes back a connection that the server keeps open for `keep` while it is idle.
+    pub fn give_back_for(&self, address: SocketAddr, connection: Connection, keep: Duration) {
         let mut shard = self.shard().lock();
         let idle = shard.entry(address).or_default();
         if idle.len() < IDLE_MAX {
             idle.push(Idle {
                 connection,
-                since: Instant::now(),
+                until: Instant::now() + keep.min(IDLE_TIMEOUT),
             });
         }
     }
+
+    /// Closes the idle connections to an address, where a request on one got no answer: the
+    /// others may be as silent.
+    pub fn forget(&self, address: SocketAddr) {
+        self.shard().lock().swap_remove(&address);
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod edge;
 pub mod error;
 pub mod filter;
+pub mod gateway;
 pub mod http;
 pub mod ids;
 pub mod observe;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -60,6 +60,34 @@
         }
     }
 
+    /// A runtime whose tasks all run in the thread that calls [`Runtime::block_on`], which
+    /// also waits for sockets and timers: no event then costs a switch of threads.
+    ///
+    /// ```
+    /// use jujubeusher::runtime::Runtime;
+    /// let runtime = Runtime::open_single();
+    /// let task = runtime.task(async { 7 });
+    /// assert_eq!(runtime.block_on(task), 7);
+    /// ```
+    pub fn open_single() -> Self {
+        let (stop, _) = async_channel::bounded(1);
+        Self {
+            workers: Arc::new([Arc::default()]),
+            next: Arc::new(AtomicUsize::new(0)),
+            _stop: stop,
+        }
+    }
+
+    /// Runs a future and the tasks of the first worker in the calling thread until the
+    /// future ends.
+    pub fn block_on<F>(&self, future: F) -> F::Output
+    where
+        F: Future,
+    {
+        WORKER.set(Some((identity(&self.workers), 0)));
+        smol::block_on(self.workers[0].run(future))
+    }
+
     /// Index of the worker that runs the calling task, if it is one of this runtime's.
     pub fn worker(&self) -> Option<usize> {
         let (workers, index) = WORKER.get()?;
