--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -94,13 +94,13 @@
         let servers = Arc::new(ServerFollower(Arc::clone(&state)));
         let servers_pace = Pace {
             wait: ROUTES_WAIT,
-            pause: Duration::from_millis(state.settings.leave_ms / SERVERS_PAUSE_PART),
+            pause: Duration::from_millis(state.settings().leave_ms / SERVERS_PAUSE_PART),
         };
         runtime.detach(follow("servers", edges.servers, servers, servers_pace));
         log::info!(
             "event=started router={} zone={} callers={} ready={}",
-            state.settings.name,
-            state.settings.zone,
+            state.settings().name,
+            state.settings().zone,
             callers.address(),
             ready.address(),
         );
@@ -129,7 +129,7 @@
     /// Stops without cutting off a request, as far as the time until the kill allows.
     pub async fn stop(self) {
         let started_ms = self.state.now_ms();
-        let limit_ms = self.state.settings.stop_ms.saturating_sub(STOP_MARGIN_MS);
+        let limit_ms = self.state.settings().stop_ms.saturating_sub(STOP_MARGIN_MS);
         self.state.begin_stop();
         log::info!("event=stopping requests={}", self.state.in_flight());
         smol::Timer::after(STOP_ACCEPT.min(Duration::from_millis(limit_ms / 2))).await;
@@ -147,7 +147,7 @@
     let asked = Arc::clone(state);
     Server::bind(
         &state.runtime,
-        state.settings.ready,
+        state.settings().ready,
         ServerLimits::default(),
         move |_| {
             let response = match asked.is_ready() {
@@ -165,14 +165,14 @@
 
 fn bind_callers(state: &Arc<State>) -> Result<Server> {
     let limits = ServerLimits {
-        connections_max: state.settings.connections_max,
+        connections_max: state.settings().connections_max,
         idle_timeout: IDLE_TIMEOUT,
         ..ServerLimits::default()
     };
     let shared = Arc::clone(state);
     Server::bind(
         &state.runtime,
-        state.settings.listen,
+        state.settings().listen,
         limits,
         move |request| request::handle(Arc::clone(&shared), request),
     )
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,8 +42,7 @@
 
 /// State that all requests share.
 pub struct State {
-    /// Settings of this process.
-    pub settings: GatewaySettings,
+    settings: RwLock<Arc<GatewaySettings>>,
     /// Runs the tasks.
     pub runtime: Runtime,
     /// Time.
@@ -80,7 +79,7 @@
         backends: Box<dyn BackendProtocol>,
     ) -> Self {
         Self {
-            settings,
+            settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::open(Arc::clone(&clock)),
             clock,
@@ -101,6 +100,29 @@
         self.clock.monotonic_ms()
     }
 
+    /// Settings in force.
+    pub fn settings(&self) -> Arc<GatewaySettings> {
+        Arc::clone(&self.settings.read())
+    }
+
+    /// Puts new settings into force. Addresses stay as they were bound, since the platform
+    /// gives a process new ones only at its start.
+    pub fn reload(&self, new: GatewaySettings) {
+        let mut settings = self.settings.write();
+        if **settings == new {
+            return;
+        }
+        log::info!(
+            "event=reloaded retry_ratio={} retry_slack={} retry_window_ms={} stop_ms={} leave_ms={}",
+            new.retries.ratio,
+            new.retries.slack,
+            new.retries.window_ms,
+            new.stop_ms,
+            new.leave_ms,
+        );
+        *settings = Arc::new(new);
+    }
+
     /// The routes in force.
     pub fn routing(&self) -> Option<Arc<RoutingTable>> {
         self.routing.read().clone()
@@ -127,7 +149,7 @@
         let now_ms = self.now_ms();
         let mut retries = self.retries.lock();
         let window = retries.entry(service.clone()).or_default();
-        window.request(now_ms, &self.settings.retries);
+        window.request(now_ms, &self.settings().retries);
     }
 
     /// Spends a retry at a service if the budget has one left.
@@ -135,7 +157,7 @@
         let now_ms = self.now_ms();
         let mut retries = self.retries.lock();
         let window = retries.entry(service.clone()).or_default();
-        window.take(now_ms, &self.settings.retries, ROUTERS_ASSUMED)
+        window.take(now_ms, &self.settings().retries, ROUTERS_ASSUMED)
     }
 
     /// Whether the platform should send callers here.
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,27 +1,50 @@
-//! SIGTERM and SIGINT ask for a planned stop.
+//! SIGTERM and SIGINT ask for a planned stop, SIGHUP for a look at the settings.
 
 use std::thread;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use async_channel::{Receiver, Sender};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::error::{Error, Result};
 use crate::runtime::Shutdown;
 
-/// Starts to listen for the signals; the returned shutdown is triggered by the first one.
+/// Starts to listen for the signals that ask for a stop; the returned shutdown is triggered by
+/// the first one.
 pub fn open() -> Result<Shutdown> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])
-        .map_err(|source| Error::io("listen for signals", source))?;
     let stop = Shutdown::new();
-    let trigger = stop.clone();
+    listen(&[SIGINT, SIGTERM], stop.clone(), None)?;
+    Ok(stop)
+}
+
+/// Like [`open`], and each SIGHUP puts a message into the channel. Without a listener SIGHUP
+/// would end the process.
+pub fn open_with_reload() -> Result<(Shutdown, Receiver<()>)> {
+    let stop = Shutdown::new();
+    let (reload, reloads) = async_channel::bounded(1);
+    listen(&[SIGINT, SIGTERM, SIGHUP], stop.clone(), Some(reload))?;
+    Ok((stop, reloads))
+}
+
+fn listen(signals: &[i32], stop: Shutdown, reload: Option<Sender<()>>) -> Result<()> {
+    let mut signals =
+        Signals::new(signals).map_err(|source| Error::io("listen for signals", source))?;
+    let run = move || {
+        for signal in signals.forever() {
+            match (&reload, signal) {
+                // A message that waits already stands for this signal too.
+                (Some(reload), SIGHUP) => _ = reload.try_send(()),
+                _ => {
+                    log::info!("event=stop_asked signal={signal}");
+                    stop.trigger();
+                    return;
+                }
+            }
+        }
+    };
     thread::Builder::new()
         .name("signals".to_owned())
-        .spawn(move || {
-            if signals.forever().next().is_some() {
-                log::info!("event=stop_asked");
-                trigger.trigger();
-            }
-        })
+        .spawn(run)
         .map_err(|source| Error::io("start the signal thread", source))?;
-    Ok(stop)
+    Ok(())
 }
