--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,8 +1,13 @@
 //! SIGTERM and SIGINT ask for a planned stop, SIGHUP for a look at the settings.
 
+#[cfg(test)]
+mod tests;
+
 use std::thread;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -26,6 +31,22 @@
     Ok((stop, reloads))
 }
 
+/// Waits until a reload is asked for or `poll` has passed; says whether it was asked for. Once
+/// the process is stopping no more reloads come, and only the time counts.
+pub async fn reload_or(reloads: &Receiver<()>, poll: Duration) -> bool {
+    let asked = async {
+        if reloads.recv().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        true
+    };
+    let passed = async {
+        smol::Timer::after(poll).await;
+        false
+    };
+    asked.or(passed).await
+}
+
 fn listen(signals: &[i32], stop: Shutdown, reload: Option<Sender<()>>) -> Result<()> {
     let mut signals =
         Signals::new(signals).map_err(|source| Error::io("listen for signals", source))?;
