Ask no request to find out whether an unreachable server is back

Cause: while a zone is cut off, each of its routers tried a remote server once a second for every one of them with a caller's request, at 400 ms of connect timeout each, and requests that waited for a silent server waited until their deadline. Now a silence of 250 ms leads to a look by a new connection, an unreachable server gets no request, and looks in the background find it again; faults are a rate against that of the others.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt on one backend server.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,14 +13,16 @@
 use crate::control::load::LoadTicket;
 use crate::decide::load::Report;
 use crate::decide::registry::Registration;
+use crate::edge::clock::Clock;
 use crate::filter::attempt::within;
 use crate::gateway::ask::Ask;
 use crate::gateway::protocol::{AnswerHead, AttemptHead};
+use crate::gateway::reach::{Heard, while_reachable};
 use crate::gateway::state::State;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::pool::{Connection, SendError};
 use crate::http::raw_events::{RawEvent, RawEvents};
-use crate::ids::{RunState, ServerId};
+use crate::ids::RunState;
 
 /// Largest answer that is held until it is whole.
 const BODY_MAX_BYTES: usize = 16 << 20;
@@ -29,6 +32,8 @@
 pub enum FailureKind {
     /// No connection could be opened, or nothing was sent on it.
     Connect,
+    /// The server fell silent and can no longer be reached.
+    Silent,
     /// The connection broke after the request was sent.
     Broken,
     /// No answer came in time.
@@ -46,6 +51,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Connect => "connect",
+            Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
             Self::Foreign => "foreign",
@@ -58,7 +64,7 @@
     pub fn run_state(self) -> RunState {
         match self {
             Self::Connect | Self::NotRun | Self::Misdirected => RunState::NotRun,
-            Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
+            Self::Silent | Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
         }
     }
 
@@ -119,8 +125,9 @@
 /// The events of a stream, from one server.
 pub struct EventSource {
     /// The server.
-    pub server: ServerId,
-    address: SocketAddr,
+    pub server: Registration,
+    heard: Heard,
+    clock: Arc<dyn Clock>,
     connection: Option<Connection>,
     body: Incoming,
     events: RawEvents,
@@ -145,6 +152,7 @@
                 Some(None) if self.events.is_empty() => return Ok(None),
                 Some(None | Some(Err(_))) => return Err(StreamBreak::Lost),
                 Some(Some(Ok(frame))) => {
+                    self.heard.note(self.clock.monotonic_ms());
                     if let Some(bytes) = frame.data_ref() {
                         self.events.push(bytes);
                     }
@@ -161,7 +169,7 @@
     /// Gives the connection back after the stream's end.
     pub fn close(mut self, state: &State) {
         if let Some(connection) = self.connection.take() {
-            give_back(state, self.address, connection, self.keep);
+            give_back(state, self.server.address, connection, self.keep);
         }
     }
 }
@@ -201,11 +209,17 @@
     let first = Duration::from_millis(limits.first_ms);
     let late = || Failure::new(FailureKind::Timeout, "no answer in time");
     let started_ms = state.now_ms();
-    let sent = within(first, state.pool.send(server.address, request)).await;
+    let heard = state.reach.heard(&server.id);
+    let silent = |_| Failure::new(FailureKind::Silent, "the server can no longer be reached");
+    let sending = within(first, state.pool.send(server.address, request));
+    let sent = while_reachable(state, server, sending)
+        .await
+        .map_err(silent)?;
     let (response, connection) = sent.ok_or_else(late)?.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
         SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
     })?;
+    heard.note(state.now_ms());
     let (head, body) = response.into_parts();
     let told = state.backends.decode(&ask.id, head.status, &head.headers);
     check(&told, &head.headers)?;
@@ -214,8 +228,9 @@
     let content = match is_event_stream {
         true => {
             let mut source = EventSource {
-                server: server.id.clone(),
-                address: server.address,
+                server: server.clone(),
+                heard,
+                clock: Arc::clone(&state.clock),
                 connection: Some(connection),
                 body,
                 events: RawEvents::default(),
@@ -226,7 +241,8 @@
             };
             let waited_ms = state.now_ms().saturating_sub(started_ms);
             let rest = Duration::from_millis(limits.first_ms.saturating_sub(waited_ms));
-            source.first = source.next(rest).await.map_err(|cause| match cause {
+            let next = while_reachable(state, server, source.next(rest)).await;
+            source.first = next.map_err(silent)?.map_err(|cause| match cause {
                 StreamBreak::Stalled => late(),
                 StreamBreak::Lost => Failure::new(FailureKind::Broken, cause),
             })?;
@@ -235,7 +251,11 @@
         false => {
             let waited_ms = state.now_ms().saturating_sub(started_ms);
             let rest = Duration::from_millis(limits.left_ms.saturating_sub(waited_ms));
-            let bytes = within(rest, whole(body)).await.ok_or_else(late)??;
+            let reading = within(rest, whole(body));
+            let read = while_reachable(state, server, reading)
+                .await
+                .map_err(silent)?;
+            let bytes = read.ok_or_else(late)??;
             give_back(state, server.address, connection, told.keep);
             Content::Whole(bytes)
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod place;
 pub mod protocol;
+pub mod reach;
 pub mod rejection;
 pub mod request;
 pub mod state;
@@ -97,6 +98,7 @@
             pause: Duration::from_millis(state.settings().leave_ms / SERVERS_PAUSE_PART),
         };
         runtime.detach(follow("servers", edges.servers, servers, servers_pace));
+        runtime.detach(reach::run(Arc::clone(&state)));
         log::info!(
             "event=started router={} zone={} callers={} ready={}",
             state.settings().name,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -71,7 +71,7 @@
         });
     }
     let ordered = ordered(ask, &open);
-    let ordered = state.suspects.order(ordered, state.now_ms());
+    let ordered = state.reach.order(ordered, state.now_ms());
     let first = ordered.into_iter().next();
     first
         .and_then(|id| servers.iter().find(|server| server.id == id).cloned())
--- /dev/null
+++ b/src/gateway/reach.rs
@@ -0,0 +1,152 @@
+//! Whether backend servers can be reached: signs of life, and looks by opening a connection.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use crate::decide::health::HealthBook;
+use crate::decide::registry::Registration;
+use crate::gateway::state::State;
+use crate::ids::ServerId;
+
+/// Silence of a server on all connections after which a request that waits for it looks
+/// whether it can still be reached: over ten times the usual step of an engine or run of a
+/// plain service.
+const SILENCE: Duration = Duration::from_millis(250);
+/// Time between rounds of looks at unreachable servers.
+const ROUND: Duration = Duration::from_millis(150);
+
+/// When a server was last heard of on any connection, in ms of the monotonic clock.
+#[derive(Debug, Clone, Default)]
+pub struct Heard(Arc<AtomicU64>);
+
+impl Heard {
+    /// Notes a sign of life.
+    pub fn note(&self, now_ms: u64) {
+        self.0.store(now_ms, Ordering::Relaxed);
+    }
+
+    fn is_silent(&self, now_ms: u64) -> bool {
+        let heard_ms = self.0.load(Ordering::Relaxed);
+        u128::from(now_ms.saturating_sub(heard_ms)) >= SILENCE.as_millis()
+    }
+}
+
+/// Health of all servers.
+#[derive(Debug, Default)]
+pub struct Reach {
+    book: Mutex<HealthBook>,
+    heard: Mutex<IndexMap<ServerId, Heard>>,
+}
+
+impl Reach {
+    /// Signs of life of a server.
+    pub fn heard(&self, server: &ServerId) -> Heard {
+        let mut heard = self.heard.lock();
+        heard.entry(server.clone()).or_default().clone()
+    }
+
+    /// No connection to a server could be opened.
+    pub fn unreachable(&self, server: &ServerId, now_ms: u64) {
+        if self.book.lock().unreachable(server, now_ms) {
+            log::warn!("event=server_unreachable server={server}");
+        }
+    }
+
+    /// A server was reached.
+    pub fn reached(&self, server: &ServerId) {
+        if self.book.lock().reached(server) {
+            log::info!("event=server_reached_again server={server}");
+        }
+    }
+
+    /// Notes whether a server served a request.
+    pub fn outcome(&self, server: &ServerId, is_fault: bool, now_ms: u64) {
+        self.book.lock().outcome(server, is_fault, now_ms);
+    }
+
+    /// Leaves out the servers that cannot be reached, and puts the faulty ones last.
+    pub fn order(&self, candidates: Vec<ServerId>, now_ms: u64) -> Vec<ServerId> {
+        self.book.lock().order(candidates, now_ms)
+    }
+
+    /// Whether a server can be reached, as far as is known.
+    pub fn is_reachable(&self, server: &ServerId) -> bool {
+        self.book.lock().is_reachable(server)
+    }
+
+    fn due(&self, now_ms: u64) -> Vec<ServerId> {
+        self.book.lock().due(now_ms)
+    }
+
+    fn keep(&self, is_known: impl Fn(&ServerId) -> bool) {
+        self.book.lock().keep(&is_known);
+        self.heard.lock().retain(|server, _| is_known(server));
+    }
+}
+
+/// Opens a connection to a server, which is then kept for requests; says whether it opened.
+async fn look(state: &State, server: &Registration) -> bool {
+    match state.pool.fresh(server.address).await {
+        Ok(connection) => {
+            state.pool.give_back(server.address, connection);
+            state.reach.reached(&server.id);
+            true
+        }
+        Err(_) => {
+            state.pool.forget(server.address);
+            state.reach.unreachable(&server.id, state.now_ms());
+            false
+        }
+    }
+}
+
+/// A server that a request waits for can no longer be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreachable;
+
+/// A future's result, unless its server falls silent and can no longer be reached.
+pub async fn while_reachable<F>(
+    state: &State,
+    server: &Registration,
+    future: F,
+) -> Result<F::Output, Unreachable>
+where
+    F: Future,
+{
+    let heard = state.reach.heard(&server.id);
+    let lost = async {
+        loop {
+            smol::Timer::after(SILENCE).await;
+            if heard.is_silent(state.now_ms()) && !look(state, server).await {
+                return Err(Unreachable);
+            }
+        }
+    };
+    async { Ok(future.await) }.or(lost).await
+}
+
+/// Looks at unreachable servers until they are reached or gone.
+pub async fn run(state: Arc<State>) {
+    loop {
+        smol::Timer::after(ROUND).await;
+        let due = state.reach.due(state.now_ms());
+        if due.is_empty() {
+            continue;
+        }
+        state
+            .reach
+            .keep(|server| state.registration(server).is_some());
+        for server in due.iter().filter_map(|server| state.registration(server)) {
+            let state = Arc::clone(&state);
+            state.runtime.clone().detach(async move {
+                look(&state, &server).await;
+            });
+        }
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -187,13 +187,14 @@
         };
         match attempt::run(state, ask, &server, limits).await {
             Ok(answer) => {
-                state.suspects.clear(&server.id);
+                state.reach.reached(&server.id);
+                let is_fault = answer.status.is_server_error();
+                state.reach.outcome(&server.id, is_fault, state.now_ms());
                 sends.arrived += 1;
                 sends.ran += 1;
                 if let Some(prompt) = ask.prompt {
                     state.note_home(prompt.shared_hash, &server.id);
                 }
-                let is_fault = answer.status.is_server_error();
                 if !is_fault || !may_repeat(state, ask, sends) {
                     return Ok(answer);
                 }
@@ -250,16 +251,22 @@
     if failure.kind.run_state() != RunState::NotRun {
         sends.ran += 1;
     }
+    let now_ms = state.now_ms();
     match failure.kind {
-        FailureKind::Connect | FailureKind::Broken => {
-            state.suspects.note(&server.id, state.now_ms());
+        FailureKind::Connect => {
+            state.pool.forget(server.address);
+            state.reach.unreachable(&server.id, now_ms);
         }
         FailureKind::Timeout => {
-            state.suspects.note(&server.id, state.now_ms());
             state.pool.forget(server.address);
+            state.reach.outcome(&server.id, true, now_ms);
+        }
+        FailureKind::Broken | FailureKind::Foreign => {
+            state.reach.outcome(&server.id, true, now_ms);
         }
         FailureKind::Misdirected => state.misdirected(&server.id),
-        FailureKind::Foreign | FailureKind::NotRun => {}
+        // The look that found it noted it.
+        FailureKind::Silent | FailureKind::NotRun => {}
     }
 }
 
@@ -304,7 +311,7 @@
         (0, _) => Rejection::NotAccepted {
             retry_after_ms: place::retry_after_ms(),
         },
-        (_, FailureKind::Timeout) => Rejection::TimedOut,
+        (_, FailureKind::Timeout | FailureKind::Silent) => Rejection::TimedOut,
         _ => Rejection::AnswerLost,
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,12 +9,12 @@
 
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
-use crate::control::suspects::Suspects;
 use crate::decide::prompt_homes::{PromptHomes, source};
 use crate::decide::registry::{Change, Registration, Registry};
 use crate::decide::retry_window::{FleetBound, RetryWindow};
 use crate::edge::clock::Clock;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
+use crate::gateway::reach::Reach;
 use crate::gateway::watch::{Follower, Row};
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
@@ -52,8 +52,8 @@
     pub pool: Pool,
     /// Load of backend servers.
     pub load: LoadTable,
-    /// Servers that failed lately.
-    pub suspects: Suspects,
+    /// Which servers can be reached and serve.
+    pub reach: Reach,
     /// Protocol of the callers.
     pub callers: Box<dyn CallerProtocol>,
     /// Protocol of the backend servers.
@@ -90,7 +90,7 @@
             load: LoadTable::open(Arc::clone(&clock)),
             clock,
             pool,
-            suspects: Suspects::open(),
+            reach: Reach::default(),
             callers,
             backends,
             routing: RwLock::default(),
@@ -140,6 +140,11 @@
         self.registry.lock().usable(service).cloned().collect()
     }
 
+    /// A server that takes requests.
+    pub fn registration(&self, server: &ServerId) -> Option<Registration> {
+        self.registry.lock().get(server).cloned()
+    }
+
     /// Notes that a server runs a request with these shared prompt parts.
     pub fn note_home(&self, shared_hash: u64, server: &ServerId) {
         self.homes.lock().note(shared_hash, server, self.now_ms());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::ask::{Ask, Sends};
 use crate::gateway::attempt::{Content, EventSource, StreamBreak};
+use crate::gateway::reach::while_reachable;
 use crate::gateway::request::{attempts, may_repeat};
 use crate::gateway::state::{FlightTicket, State};
 use crate::http::raw_events::RawEvent;
@@ -68,7 +69,10 @@
                 return Err(BodyError::Incomplete("the time for the stream is over"));
             }
             let wait_ms = stall_ms(&self.ask).min(left_ms);
-            match source.next(Duration::from_millis(wait_ms)).await {
+            let server = source.server.clone();
+            let next = source.next(Duration::from_millis(wait_ms));
+            let next = while_reachable(&self.state, &server, next).await;
+            match next.unwrap_or(Err(StreamBreak::Lost)) {
                 Ok(Some(event)) => {
                     if let Some(bytes) = self.take(event) {
                         return Ok(Some(bytes));
@@ -125,7 +129,7 @@
 
     /// Goes on at another server after a break, where the route allows it.
     async fn recover(&mut self, cause: StreamBreak) -> Result<(), BodyError> {
-        let server = self.source.as_ref().map(|source| source.server.clone());
+        let server = self.source.as_ref().map(|source| source.server.id.clone());
         let may_resume =
             self.ask.route.can_resume && may_repeat(&self.state, &self.ask, &self.sends);
         log::info!(
@@ -141,7 +145,8 @@
         // The server stops its work when its connection closes.
         self.source = None;
         if let Some(server) = &server {
-            self.state.suspects.note(server, self.state.now_ms());
+            let now_ms = self.state.now_ms();
+            self.state.reach.outcome(server, true, now_ms);
         }
         if !may_resume {
             self.outcome = "broken";
