Let the routers at the seed addresses read the store and pass on what matters

Cause: each router read both tables by itself, 2.9 calls a second; on the grown sites calls to the platform were the largest price, and a router that started while the store was away knew nothing. Now seeds read, the others subscribe to one of them and read by themselves within 1.6 s of its silence; heartbeats are not passed on.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -47,6 +47,8 @@
     None,
     /// A server joined, or one came back as a new life.
     Joined,
+    /// A server whose row had lapsed is registered again.
+    Returned,
     /// A server takes no new requests any more.
     Left,
     /// The row is older than what is known.
@@ -93,14 +95,15 @@
             self.insert(new, now_ms);
             return Change::Joined;
         }
-        entry.lapses_at_ms = None;
+        let has_returned = entry.lapses_at_ms.take().is_some();
         let has_left = new.is_leaving && !known.is_leaving;
         // A server that is leaving does not come back in the same life.
         let is_leaving = new.is_leaving || known.is_leaving;
         entry.registration = Registration { is_leaving, ..new };
-        match has_left {
-            true => Change::Left,
-            false => Change::None,
+        match (has_left, has_returned) {
+            (true, _) => Change::Left,
+            (false, true) => Change::Returned,
+            (false, false) => Change::None,
         }
     }
 
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -71,7 +71,7 @@
         assert_eq!(registry.remove(&ServerId::from(id), 10_100), Change::Lapsed);
     }
     assert_eq!(usable(&registry), ["a", "b"]);
-    registry.set(row("a", 1, 2), 0);
+    assert_eq!(registry.set(row("a", 1, 2), 0), Change::Returned);
     assert_eq!(registry.expire(12_000), [ServerId::from("b")]);
     assert_eq!(usable(&registry), ["a"]);
 }
--- /dev/null
+++ b/src/gateway/followers.rs
@@ -0,0 +1,147 @@
+//! Turns rows of the watched tables into routes and servers.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::config::routing::RoutingTable;
+use crate::decide::registry::{Change, Registration};
+use crate::gateway::state::State;
+use crate::gateway::watch::{Follower, News, Row};
+use crate::ids::ServerId;
+
+/// Reads the content of a row; a problem makes the row unusable.
+pub type Decode<T> = fn(key: &str, content: &[u8]) -> Result<T, String>;
+
+/// Takes up the routes.
+pub struct RoutingFollower {
+    /// State that gets the routes.
+    pub state: Arc<State>,
+    /// Reads a row.
+    pub decode: Decode<RoutingTable>,
+}
+
+impl RoutingFollower {
+    fn set(&self, table: RoutingTable) {
+        let mut routing = self.state.routing.write();
+        let known = routing.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= table.version) {
+            return;
+        }
+        log::info!(
+            "event=routes version={} hosts={} keys={}",
+            table.version,
+            table.hosts.len(),
+            table.keys.as_ref().map_or(0, IndexMap::len),
+        );
+        *routing = Some(Arc::new(table));
+    }
+}
+
+impl Follower for RoutingFollower {
+    fn replace(&self, rows: &[Row]) {
+        for row in rows {
+            self.apply(row);
+        }
+    }
+
+    fn apply(&self, row: &Row) -> News {
+        let key = &row.key;
+        match row
+            .content
+            .as_ref()
+            .map(|content| (self.decode)(key, content))
+        {
+            Some(Ok(table)) => self.set(table),
+            Some(Err(problem)) => {
+                log::warn!("event=routes_unreadable key={key} problem=\"{problem}\"");
+            }
+            None => log::warn!("event=routes_removed key={key}"),
+        }
+        News::Matters
+    }
+
+    fn lost(&self) {}
+
+    fn reached(&self) {}
+}
+
+/// Takes up the servers.
+pub struct ServerFollower {
+    /// State that gets the servers.
+    pub state: Arc<State>,
+    /// Reads a row.
+    pub decode: Decode<Registration>,
+}
+
+impl ServerFollower {
+    fn read(&self, row: &Row) -> Option<Registration> {
+        match (self.decode)(&row.key, row.content.as_ref()?) {
+            Ok(registration) => Some(registration),
+            Err(problem) => {
+                log::info!(
+                    "event=server_unreadable server={} problem=\"{problem}\"",
+                    row.key
+                );
+                None
+            }
+        }
+    }
+}
+
+fn log_change(id: &ServerId, change: Change) {
+    match change {
+        Change::None => {}
+        Change::Joined => log::info!("event=server_joined server={id}"),
+        Change::Left => log::info!("event=server_left server={id}"),
+        Change::Returned => log::info!("event=server_returned server={id}"),
+        Change::Lapsed => log::info!("event=server_lapsed server={id}"),
+        Change::Outdated => log::debug!("event=heartbeat_outdated server={id}"),
+    }
+}
+
+impl Follower for ServerFollower {
+    fn replace(&self, rows: &[Row]) {
+        let now_ms = self.state.now_ms();
+        let mut set = Vec::new();
+        let mut unreadable = Vec::new();
+        for row in rows {
+            match self.read(row) {
+                Some(registration) => set.push(registration),
+                None => unreadable.push(ServerId::from(row.key.as_str())),
+            }
+        }
+        let changes = self.state.registry.lock().replace(set, &unreadable, now_ms);
+        for (id, change) in changes {
+            log_change(&id, change);
+        }
+    }
+
+    fn apply(&self, row: &Row) -> News {
+        let now_ms = self.state.now_ms();
+        let id = ServerId::from(row.key.as_str());
+        let change = match (&row.content, self.read(row)) {
+            (None, _) => self.state.registry.lock().remove(&id, now_ms),
+            (Some(_), Some(registration)) => self.state.registry.lock().set(registration, now_ms),
+            (Some(_), None) => return News::Nothing,
+        };
+        log_change(&id, change);
+        match (change, &row.content) {
+            (Change::None | Change::Outdated, Some(_)) => News::Nothing,
+            _ => News::Matters,
+        }
+    }
+
+    fn lost(&self) {
+        self.state.registry.lock().store_lost();
+    }
+
+    fn reached(&self) {
+        let now_ms = self.state.now_ms();
+        let mut registry = self.state.registry.lock();
+        registry.store_back(now_ms);
+        for id in registry.expire(now_ms) {
+            log::info!("event=server_left server={id} reason=not_registered_again");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mirror/tests.rs
@@ -0,0 +1,113 @@
+use super::*;
+
+/// Follower for which content that begins with a dot does not matter.
+#[derive(Default)]
+struct Notes(Mutex<Vec<String>>);
+
+impl Follower for Notes {
+    fn replace(&self, rows: &[Row]) {
+        self.0.lock().push(format!("replace {}", rows.len()));
+    }
+
+    fn apply(&self, row: &Row) -> News {
+        self.0.lock().push(format!("apply {}", row.key));
+        match &row.content {
+            Some(content) if content.starts_with(b".") => News::Nothing,
+            _ => News::Matters,
+        }
+    }
+
+    fn lost(&self) {
+        self.0.lock().push("lost".to_owned());
+    }
+
+    fn reached(&self) {}
+}
+
+fn rows(position: u64, pairs: &[(&str, Option<&str>)]) -> Rows {
+    let row = |(key, content): &(&str, Option<&str>)| Row {
+        key: (*key).to_owned(),
+        content: content.map(|content| Bytes::from(content.to_owned())),
+    };
+    Rows {
+        rows: pairs.iter().map(row).collect(),
+        position: Position(position),
+    }
+}
+
+fn open() -> (Mirror, Arc<Notes>) {
+    let notes = Arc::new(Notes::default());
+    (Mirror::open("test", Arc::clone(&notes) as _), notes)
+}
+
+#[test]
+fn subscribe_begins_with_the_whole_content() {
+    let (mirror, _) = open();
+    mirror.replace(
+        rows(5, &[("a", Some("1")), ("b", Some("2"))]),
+        Origin::Source,
+    );
+    mirror.apply(rows(6, &[("b", None)]), Origin::Source);
+    let updates = mirror.subscribe();
+    let whole = rows(6, &[("a", Some("1"))]);
+    assert_eq!(updates.try_recv(), Ok(Update::Whole(whole)));
+}
+
+/// Each server counts its heartbeats in its row about once a second; passing them all on would
+/// take more than the bound on control traffic.
+#[test]
+fn apply_heartbeats_are_kept_and_not_passed_on() {
+    let (mirror, _) = open();
+    mirror.replace(rows(1, &[]), Origin::Source);
+    let updates = mirror.subscribe();
+    updates.try_recv().unwrap();
+    mirror.apply(
+        rows(2, &[("a", Some(".1")), ("b", Some("2"))]),
+        Origin::Source,
+    );
+    let told = rows(2, &[("b", Some("2"))]);
+    assert_eq!(updates.try_recv(), Ok(Update::Changed(told)));
+    let whole = rows(2, &[("a", Some(".1")), ("b", Some("2"))]);
+    assert_eq!(mirror.subscribe().try_recv(), Ok(Update::Whole(whole)));
+}
+
+/// A router that lags must not turn back one that has read the table itself meanwhile.
+#[test]
+fn replace_older_content_of_a_relay_changes_nothing() {
+    let (mirror, notes) = open();
+    mirror.replace(rows(7, &[("a", Some("1"))]), Origin::Source);
+    mirror.replace(rows(6, &[]), Origin::Relay);
+    mirror.apply(rows(6, &[("a", None)]), Origin::Relay);
+    assert_eq!(*notes.0.lock(), ["replace 1"]);
+    assert_eq!(mirror.position(), Some(Position(7)));
+}
+
+#[test]
+fn apply_before_the_whole_content_changes_nothing() {
+    let (mirror, notes) = open();
+    mirror.apply(rows(3, &[("a", Some("1"))]), Origin::Relay);
+    assert_eq!(mirror.position(), None);
+    assert!(notes.0.lock().is_empty());
+}
+
+#[test]
+fn publish_subscriber_that_does_not_read_is_cut_off() {
+    let (mirror, _) = open();
+    mirror.replace(rows(1, &[]), Origin::Source);
+    let updates = mirror.subscribe();
+    for position in 2..2 + 2 * SUBSCRIBER_UPDATES as u64 {
+        mirror.apply(rows(position, &[("a", Some("1"))]), Origin::Source);
+    }
+    while updates.try_recv().is_ok() {}
+    assert!(updates.is_closed());
+}
+
+#[test]
+fn lost_is_told_once() {
+    let (mirror, _) = open();
+    let updates = mirror.subscribe();
+    mirror.lost();
+    mirror.lost();
+    assert_eq!(updates.try_recv(), Ok(Update::Lost));
+    assert!(updates.try_recv().is_err());
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,10 +6,13 @@
 
 pub mod ask;
 pub mod attempt;
+pub mod followers;
+pub mod mirror;
 pub mod place;
 pub mod protocol;
 pub mod reach;
 pub mod rejection;
+pub mod relay;
 pub mod request;
 pub mod state;
 pub mod stream;
@@ -26,12 +29,15 @@
 use crate::decide::registry::Registration;
 use crate::edge::clock::{Clock, HostClock};
 use crate::error::Result;
+use crate::gateway::followers::{Decode, RoutingFollower, ServerFollower};
+use crate::gateway::mirror::Mirror;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
-use crate::gateway::state::{GatewaySettings, RoutingFollower, ServerFollower, State};
+use crate::gateway::relay::Mirrors;
+use crate::gateway::state::{GatewaySettings, State};
 use crate::gateway::watch::{Pace, Source, follow};
 use crate::http::pool::Pool;
 use crate::http::server::{Server, ServerLimits};
-use crate::runtime::Runtime;
+use crate::runtime::{Runtime, Shutdown};
 
 /// What a gateway meets outside.
 pub struct Edges {
@@ -40,9 +46,13 @@
     /// Protocol of the backend servers.
     pub backends: Box<dyn BackendProtocol>,
     /// Where the routes are.
-    pub routes: Arc<dyn Source<RoutingTable>>,
+    pub routes: Arc<dyn Source>,
+    /// Reads a row of the routes.
+    pub decode_routes: Decode<RoutingTable>,
     /// Where the servers register.
-    pub servers: Arc<dyn Source<Registration>>,
+    pub servers: Arc<dyn Source>,
+    /// Reads a server's row.
+    pub decode_server: Decode<Registration>,
 }
 
 /// A running gateway.
@@ -50,6 +60,48 @@
     state: Arc<State>,
     callers: Server,
     ready: Server,
+    stop: Shutdown,
+}
+
+/// The watched tables.
+struct Tables {
+    routes: Arc<dyn Source>,
+    decode_routes: Decode<RoutingTable>,
+    servers: Arc<dyn Source>,
+    decode_server: Decode<Registration>,
+}
+
+impl Tables {
+    /// Follows the tables, by reading them or through another router.
+    fn follow(self, state: &Arc<State>, stop: &Shutdown) -> Result<()> {
+        let routes = Arc::new(RoutingFollower {
+            state: Arc::clone(state),
+            decode: self.decode_routes,
+        });
+        let routes = Arc::new(Mirror::open("routes", routes));
+        let servers = Arc::new(ServerFollower {
+            state: Arc::clone(state),
+            decode: self.decode_server,
+        });
+        let servers = Arc::new(Mirror::open("servers", servers));
+        let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
+        relay::spawn(state, &mirrors, stop)?;
+        let routes_pace = Pace {
+            wait: ROUTES_WAIT,
+            pause: ROUTES_PAUSE,
+        };
+        let servers_pace = Pace {
+            wait: ROUTES_WAIT,
+            pause: Duration::from_millis(state.settings().leave_ms / SERVERS_PAUSE_PART),
+        };
+        state
+            .runtime
+            .detach(follow(self.routes, routes, routes_pace));
+        state
+            .runtime
+            .detach(follow(self.servers, servers, servers_pace));
+        Ok(())
+    }
 }
 
 /// Longest wait for a connection to a backend server: all are within a few ms, and a lost
@@ -86,18 +138,14 @@
         ));
         let ready = bind_ready(&state)?;
         let callers = bind_callers(&state)?;
-        let routes = Arc::new(RoutingFollower(Arc::clone(&state)));
-        let routes_pace = Pace {
-            wait: ROUTES_WAIT,
-            pause: ROUTES_PAUSE,
-        };
-        runtime.detach(follow("routes", edges.routes, routes, routes_pace));
-        let servers = Arc::new(ServerFollower(Arc::clone(&state)));
-        let servers_pace = Pace {
-            wait: ROUTES_WAIT,
-            pause: Duration::from_millis(state.settings().leave_ms / SERVERS_PAUSE_PART),
+        let stop = Shutdown::new();
+        let tables = Tables {
+            routes: edges.routes,
+            decode_routes: edges.decode_routes,
+            servers: edges.servers,
+            decode_server: edges.decode_server,
         };
-        runtime.detach(follow("servers", edges.servers, servers, servers_pace));
+        tables.follow(&state, &stop)?;
         runtime.detach(reach::run(Arc::clone(&state)));
         log::info!(
             "event=started router={} zone={} callers={} ready={}",
@@ -110,6 +158,7 @@
             state,
             callers,
             ready,
+            stop,
         })
     }
 
@@ -141,6 +190,7 @@
             smol::Timer::after(STOP_POLL).await;
         }
         self.ready.stop();
+        self.stop.trigger();
         log::info!("event=stopped requests_left={}", self.state.in_flight());
     }
 }
--- /dev/null
+++ b/src/gateway/relay/wire.rs
@@ -0,0 +1,58 @@
+//! Messages between a router that reads the platform's tables and its subscribers. Fields may
+//! be added; numbers are never reused.
+
+use bytes::Bytes;
+
+use crate::gateway::watch;
+
+/// One update of one table. An empty message opens a subscription.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Message {
+    /// Number of the table.
+    #[prost(uint32, tag = "1")]
+    pub table: u32,
+    /// Position of the table after these rows.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    /// Rows that are set or gone.
+    #[prost(message, repeated, tag = "3")]
+    pub rows: Vec<Row>,
+    /// Whether these are all rows of the table.
+    #[prost(bool, tag = "4")]
+    pub is_whole: bool,
+    /// Whether the next message goes on with this update.
+    #[prost(bool, tag = "5")]
+    pub has_more: bool,
+    /// Whether the sender cannot reach the table.
+    #[prost(bool, tag = "6")]
+    pub is_lost: bool,
+}
+
+/// One row.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Row {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its content; absent where the row is gone.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub content: Option<Bytes>,
+}
+
+impl From<&watch::Row> for Row {
+    fn from(row: &watch::Row) -> Self {
+        Self {
+            key: row.key.clone(),
+            content: row.content.clone(),
+        }
+    }
+}
+
+impl From<Row> for watch::Row {
+    fn from(row: Row) -> Self {
+        Self {
+            key: row.key,
+            content: row.content,
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,12 +10,11 @@
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::decide::prompt_homes::{PromptHomes, source};
-use crate::decide::registry::{Change, Registration, Registry};
+use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetBound, RetryWindow};
 use crate::edge::clock::Clock;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reach::Reach;
-use crate::gateway::watch::{Follower, Row};
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
 use crate::runtime::Runtime;
@@ -39,6 +38,19 @@
     pub stop_ms: u64,
     /// Longest time for which a server that leaves may get requests.
     pub leave_ms: u64,
+    /// How routers pass on what they read; none for one that reads by itself.
+    pub relay: Option<RelaySettings>,
+}
+
+/// Settings of the relay between routers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RelaySettings {
+    /// Address for subscribers.
+    pub listen: SocketAddr,
+    /// Addresses of the routers that read the platform's tables.
+    pub seeds: Vec<SocketAddr>,
+    /// Key that authenticates routers to each other.
+    pub key: String,
 }
 
 /// State that all requests share.
@@ -58,8 +70,8 @@
     pub callers: Box<dyn CallerProtocol>,
     /// Protocol of the backend servers.
     pub backends: Box<dyn BackendProtocol>,
-    routing: RwLock<Option<Arc<RoutingTable>>>,
-    registry: Mutex<Registry>,
+    pub(super) routing: RwLock<Option<Arc<RoutingTable>>>,
+    pub(super) registry: Mutex<Registry>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     homes: Mutex<PromptHomes>,
     in_flight: AtomicUsize,
@@ -192,7 +204,8 @@
 
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routing.read().is_some()
+        let knows_all = self.routing.read().is_some() && !self.registry.lock().is_empty();
+        knows_all && !self.is_stopping()
     }
 
     /// Whether the process was told to stop.
@@ -225,117 +238,3 @@
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Takes up the routes.
-pub struct RoutingFollower(pub Arc<State>);
-
-impl RoutingFollower {
-    fn take(&self, rows: Vec<Row<RoutingTable>>) {
-        for row in rows {
-            match row {
-                Row::Set(table) => self.set(table),
-                Row::Removed { key } => log::warn!("event=routes_removed key={key}"),
-                Row::Unreadable { key, problem } => {
-                    log::warn!("event=routes_unreadable key={key} problem=\"{problem}\"");
-                }
-            }
-        }
-    }
-
-    fn set(&self, table: RoutingTable) {
-        let mut routing = self.0.routing.write();
-        let known = routing.as_ref().map(|known| known.version);
-        if known.is_some_and(|known| known >= table.version) {
-            return;
-        }
-        log::info!(
-            "event=routes version={} hosts={} keys={}",
-            table.version,
-            table.hosts.len(),
-            table.keys.as_ref().map_or(0, IndexMap::len),
-        );
-        *routing = Some(Arc::new(table));
-    }
-}
-
-impl Follower<RoutingTable> for RoutingFollower {
-    fn replace(&self, rows: Vec<Row<RoutingTable>>) {
-        self.take(rows);
-    }
-
-    fn apply(&self, rows: Vec<Row<RoutingTable>>) {
-        self.take(rows);
-    }
-
-    fn lost(&self) {}
-
-    fn reached(&self) {}
-}
-
-/// Takes up the servers.
-pub struct ServerFollower(pub Arc<State>);
-
-fn log_change(id: &ServerId, change: Change) {
-    match change {
-        Change::None => {}
-        Change::Joined => log::info!("event=server_joined server={id}"),
-        Change::Left => log::info!("event=server_left server={id}"),
-        Change::Lapsed => log::info!("event=server_lapsed server={id}"),
-        Change::Outdated => log::debug!("event=heartbeat_outdated server={id}"),
-    }
-}
-
-impl Follower<Registration> for ServerFollower {
-    fn replace(&self, rows: Vec<Row<Registration>>) {
-        let now_ms = self.0.now_ms();
-        let mut set = Vec::new();
-        let mut unreadable = Vec::new();
-        for row in rows {
-            match row {
-                Row::Set(registration) => set.push(registration),
-                Row::Unreadable { key, problem } => {
-                    log::info!("event=server_unreadable server={key} problem=\"{problem}\"");
-                    unreadable.push(ServerId::from(key.as_str()));
-                }
-                Row::Removed { .. } => {}
-            }
-        }
-        let changes = self.0.registry.lock().replace(set, &unreadable, now_ms);
-        for (id, change) in changes {
-            log_change(&id, change);
-        }
-    }
-
-    fn apply(&self, rows: Vec<Row<Registration>>) {
-        let now_ms = self.0.now_ms();
-        let mut registry = self.0.registry.lock();
-        for row in rows {
-            match row {
-                Row::Set(registration) => {
-                    let id = registration.id.clone();
-                    log_change(&id, registry.set(registration, now_ms));
-                }
-                Row::Removed { key } => {
-                    let id = ServerId::from(key.as_str());
-                    log_change(&id, registry.remove(&id, now_ms));
-                }
-                Row::Unreadable { key, problem } => {
-                    log::info!("event=server_unreadable server={key} problem=\"{problem}\"");
-                }
-            }
-        }
-    }
-
-    fn lost(&self) {
-        self.0.registry.lock().store_lost();
-    }
-
-    fn reached(&self) {
-        let now_ms = self.0.now_ms();
-        let mut registry = self.0.registry.lock();
-        registry.store_back(now_ms);
-        for id in registry.expire(now_ms) {
-            log::info!("event=server_left server={id} reason=not_registered_again");
-        }
-    }
-}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,13 +1,15 @@
-//! Controllers that follow a watched source: read it whole, then take up its changes.
+//! Tables of the platform that are watched, and the controller that follows one.
 
-use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 
+use crate::gateway::mirror::{Mirror, Origin};
+
 /// A pending answer of a source.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -26,54 +28,50 @@
     Unavailable(String),
 }
 
-/// One row.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Row<T> {
-    /// The row has this content.
-    Set(T),
-    /// The row is gone.
-    Removed {
-        /// Its key.
-        key: String,
-    },
-    /// The row's content cannot be used.
-    Unreadable {
-        /// Its key.
-        key: String,
-        /// What is wrong with it.
-        problem: String,
-    },
+/// One row as the source keeps it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its content; none where the row is gone.
+    pub content: Option<Bytes>,
 }
 
 /// Rows, and the position after them.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Rows<T> {
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rows {
     /// The rows.
-    pub rows: Vec<Row<T>>,
+    pub rows: Vec<Row>,
     /// Where to go on.
     pub position: Position,
 }
 
 /// A table of the platform that can be watched.
-pub trait Source<T>: Send + Sync + 'static {
+pub trait Source: Send + Sync + 'static {
     /// All rows as of one moment.
-    fn read(&self) -> Pending<'_, Result<Rows<T>, SourceError>>;
+    fn read(&self) -> Pending<'_, Result<Rows, SourceError>>;
 
     /// Rows that changed after `position`; waits up to `wait` for the first of them.
-    fn changes(
-        &self,
-        position: Position,
-        wait: Duration,
-    ) -> Pending<'_, Result<Rows<T>, SourceError>>;
+    fn changes(&self, position: Position, wait: Duration)
+    -> Pending<'_, Result<Rows, SourceError>>;
+}
+
+/// What a row means to a follower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// Other routers have to know it.
+    Matters,
+    /// Nothing changed but, say, a heartbeat's count.
+    Nothing,
 }
 
 /// Takes up what a source says.
-pub trait Follower<T>: Send + Sync + 'static {
+pub trait Follower: Send + Sync + 'static {
     /// The whole content was read.
-    fn replace(&self, rows: Vec<Row<T>>);
+    fn replace(&self, rows: &[Row]);
 
-    /// Rows changed.
-    fn apply(&self, rows: Vec<Row<T>>);
+    /// A row changed.
+    fn apply(&self, row: &Row) -> News;
 
     /// The source does not answer.
     fn lost(&self);
@@ -96,53 +94,54 @@
 /// Longest pause after a failure: a store that comes back must be found within the time
 /// that the shortest bound on a change leaves.
 const RETRY_MAX_MS: u64 = 600;
+/// Time between looks whether the source has to be read here again.
+const STANDBY_POLL: Duration = Duration::from_millis(200);
 
-/// Follows one source for good.
-pub async fn follow<T>(
-    name: &'static str,
-    source: Arc<dyn Source<T>>,
-    follower: Arc<dyn Follower<T>>,
-    pace: Pace,
-) where
-    T: Send + fmt::Debug + 'static,
-{
-    let mut position: Option<Position> = None;
+/// Follows one source for good, as long as no other router's reading is passed on to here.
+pub async fn follow(source: Arc<dyn Source>, mirror: Arc<Mirror>, pace: Pace) {
     let mut failures = 0;
+    let mut must_read = true;
     loop {
+        if mirror.is_relayed() {
+            // What is relayed moves the mirror's position on.
+            failures = 0;
+            smol::Timer::after(STANDBY_POLL).await;
+            continue;
+        }
+        let position = mirror.position().filter(|_| !must_read);
         let answer = match position {
-            None => source.read().await.map(|rows| (true, rows)),
-            Some(position) => source
-                .changes(position, pace.wait)
-                .await
-                .map(|rows| (false, rows)),
+            None => source.read().await,
+            Some(position) => source.changes(position, pace.wait).await,
         };
         match answer {
-            Ok((is_whole, rows)) => {
+            Ok(rows) => {
                 if failures > 0 {
-                    log::info!("event=source_back source={name} failures={failures}");
+                    log::info!(
+                        "event=source_back source={} failures={failures}",
+                        mirror.name()
+                    );
                 }
                 failures = 0;
-                follower.reached();
-                // A late answer from before a restart must not turn the state back.
-                if position.is_none_or(|known| rows.position >= known) {
-                    position = Some(rows.position);
-                    match is_whole {
-                        true => follower.replace(rows.rows),
-                        false => follower.apply(rows.rows),
-                    }
+                must_read = false;
+                match position {
+                    None => mirror.replace(rows, Origin::Source),
+                    Some(_) => mirror.apply(rows, Origin::Source),
                 }
                 smol::Timer::after(pace.pause).await;
             }
             Err(SourceError::HistoryLost) => {
-                log::info!("event=history_lost source={name}");
-                position = None;
+                log::info!("event=history_lost source={}", mirror.name());
+                must_read = true;
             }
             Err(error) => {
                 failures += 1;
                 if failures == 1 {
-                    log::warn!("event=source_lost source={name} error=\"{error}\"");
+                    log::warn!(
+                        "event=source_lost source={} error=\"{error}\"",
+                        mirror.name()
+                    );
                 }
-                follower.lost();
+                mirror.lost();
                 smol::Timer::after(retry_pause(failures)).await;
             }
         }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -122,7 +122,10 @@
     }
 
     /// The frame that carries a packet.
-    pub fn seal(&mut self, packet: &wire::Packet) -> Bytes {
+    pub fn seal<M>(&mut self, packet: &M) -> Bytes
+    where
+        M: Message,
+    {
         let body = packet.encode_to_vec();
         let mac = self.next_mac(&body).finalize().into_bytes();
         let mut frame = BytesMut::with_capacity(MAC_BYTES + body.len());
@@ -132,14 +135,17 @@
     }
 
     /// The packet of a frame, if the frame is the next authentic one.
-    pub fn open_frame(&mut self, frame: &[u8]) -> Result<wire::Packet, LinkError> {
+    pub fn open_frame<M>(&mut self, frame: &[u8]) -> Result<M, LinkError>
+    where
+        M: Message + Default,
+    {
         let Some((mac, body)) = frame.split_at_checked(MAC_BYTES) else {
             return Err(LinkError::NotAuthentic);
         };
         self.next_mac(body)
             .verify_truncated_left(mac)
             .map_err(|_| LinkError::NotAuthentic)?;
-        Ok(wire::Packet::decode(body)?)
+        Ok(M::decode(body)?)
     }
 }
 
@@ -163,7 +169,10 @@
 
 impl FrameWriter {
     /// Sends a packet and says how many bytes it took.
-    pub async fn send(&mut self, packet: &wire::Packet) -> Result<usize, LinkError> {
+    pub async fn send<M>(&mut self, packet: &M) -> Result<usize, LinkError>
+    where
+        M: Message,
+    {
         let frame = self.direction.seal(packet);
         let bytes = frame.len() + size_of::<u32>();
         self.frames.send(frame).await?;
@@ -173,7 +182,10 @@
 
 impl FrameReader {
     /// The next packet and the bytes it took, within a time limit.
-    pub async fn receive(&mut self, limit: Duration) -> Result<(wire::Packet, usize), LinkError> {
+    pub async fn receive<M>(&mut self, limit: Duration) -> Result<(M, usize), LinkError>
+    where
+        M: Message + Default,
+    {
         let frame = next_frame(&mut self.frames, limit).await?;
         let packet = self.direction.open_frame(&frame)?;
         Ok((packet, frame.len() + size_of::<u32>()))
--- a/src/peer/frame/tests.rs
+++ b/src/peer/frame/tests.rs
@@ -19,7 +19,10 @@
     let (mut sender, mut receiver) = pair();
     for version in 0..3 {
         let frame = sender.seal(&packet(version));
-        assert_eq!(receiver.open_frame(&frame).unwrap(), packet(version));
+        assert_eq!(
+            receiver.open_frame::<wire::Packet>(&frame).unwrap(),
+            packet(version)
+        );
     }
 }
 
@@ -28,9 +31,9 @@
 fn open_frame_refuses_replay() {
     let (mut sender, mut receiver) = pair();
     let frame = sender.seal(&packet(7));
-    assert!(receiver.open_frame(&frame).is_ok());
+    assert!(receiver.open_frame::<wire::Packet>(&frame).is_ok());
     assert!(matches!(
-        receiver.open_frame(&frame),
+        receiver.open_frame::<wire::Packet>(&frame),
         Err(LinkError::NotAuthentic)
     ));
 }
@@ -42,14 +45,14 @@
     for index in 0..frame.len() * 8 {
         let mut altered = frame.clone();
         altered[index / 8] ^= 1 << (index % 8);
-        let opened = pair().1.open_frame(&altered);
+        let opened = pair().1.open_frame::<wire::Packet>(&altered);
         assert!(
             matches!(opened, Err(LinkError::NotAuthentic)),
             "bit {index}"
         );
     }
     for length in 0..frame.len() {
-        let opened = pair().1.open_frame(&frame[..length]);
+        let opened = pair().1.open_frame::<wire::Packet>(&frame[..length]);
         assert!(
             matches!(opened, Err(LinkError::NotAuthentic)),
             "{length} bytes"
@@ -74,7 +77,7 @@
     ];
     for mut other in others {
         assert!(matches!(
-            other.open_frame(&frame),
+            other.open_frame::<wire::Packet>(&frame),
             Err(LinkError::NotAuthentic)
         ));
     }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -119,7 +119,7 @@
         ..wire::Packet::default()
     };
     writer.send(&introduction).await?;
-    let (packet, _) = reader.receive(SILENCE_MAX).await?;
+    let (packet, _) = reader.receive::<wire::Packet>(SILENCE_MAX).await?;
     if packet.introduction.is_none() && !packet.changes.is_empty() {
         node.take_pushed(&packet);
         // The sender waits for a packet that shows that the change was taken up.
@@ -154,8 +154,8 @@
         ..wire::Packet::default()
     };
     writer.send(&packet).await?;
-    reader.receive(SILENCE_MAX).await?;
-    reader.receive(SILENCE_MAX).await?;
+    reader.receive::<wire::Packet>(SILENCE_MAX).await?;
+    reader.receive::<wire::Packet>(SILENCE_MAX).await?;
     Ok(())
 }
 
@@ -239,7 +239,7 @@
     peer: &wire::Member,
 ) -> std::result::Result<(), LinkError> {
     loop {
-        let (packet, bytes) = reader.receive(SILENCE_MAX).await?;
+        let (packet, bytes) = reader.receive::<wire::Packet>(SILENCE_MAX).await?;
         node.counters
             .bytes_received
             .fetch_add(bytes as u64, Ordering::Relaxed);
