--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod hosts;
 pub mod objects;
 pub mod orders;
+pub mod platform;
 pub mod proxy;
 pub mod serve;
 pub mod service;
--- /dev/null
+++ b/standins/src/platform/backend.rs
@@ -0,0 +1,200 @@
+//! Stand-in for a backend server of the platform: keeps a record of every run and misbehaves
+//! as told.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use parking_lot::Mutex;
+use smol::Timer;
+
+use crate::serve::{Body, Server, plain, reset};
+
+/// What goes wrong with one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The server states that it did not run the request.
+    NotRun,
+    /// The request runs, then the connection closes without an answer.
+    AnswerLost,
+    /// The request runs and fails.
+    Failed,
+    /// The request runs; the answer carries the id of another one.
+    OtherId,
+    /// The request runs; the answer has no signature.
+    Unsigned,
+    /// The request runs; the answer is marked as encoded.
+    Encoded,
+    /// The request runs; the answer ends before its full length, or a stream within an event.
+    CutShort,
+    /// The request runs and is answered after this time.
+    Slow(Duration),
+}
+
+/// One request that ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Method, path and query.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Run {
+    /// The text of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: Vec<Run>,
+    faults: VecDeque<Fault>,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct PlatformBackend {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+/// Events of each stream.
+pub const EVENTS: u64 = 5;
+
+impl PlatformBackend {
+    /// Starts a server with this id.
+    pub fn bind(address: SocketAddr, id: &str) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        let id: Arc<str> = Arc::from(id);
+        let server = Server::bind(address, move |request| {
+            answer(Arc::clone(&id), Arc::clone(&shared), request)
+        })?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// All runs in order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.lock().runs.clone()
+    }
+
+    /// Gives the next request this fault; faults queue up.
+    pub fn fail_next(&self, fault: Fault) {
+        self.state.lock().faults.push_back(fault);
+    }
+}
+
+async fn answer(
+    id: Arc<str>,
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return reset();
+    };
+    let expected = parts.headers.get("x-expect-instance");
+    if expected.is_some_and(|expected| expected.as_bytes() != id.as_bytes()) {
+        return named(
+            plain(StatusCode::MISDIRECTED_REQUEST, ""),
+            "x-instance-id",
+            &id,
+        );
+    }
+    let fault = state.lock().faults.pop_front();
+    if fault == Some(Fault::NotRun) {
+        return named(plain(StatusCode::SERVICE_UNAVAILABLE, ""), "x-not-run", "1");
+    }
+    let is_stream = parts.uri.path().contains("/stream");
+    let after = parts
+        .headers
+        .get("last-event-id")
+        .and_then(|value| value.to_str().ok());
+    let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let request_id = parts.headers.get("x-request-id").cloned();
+    state.lock().runs.push(Run {
+        target: format!("{} {}", parts.method, parts.uri),
+        headers: parts.headers,
+        body: body.to_bytes(),
+    });
+    if let Some(Fault::Slow(delay)) = fault {
+        Timer::after(delay).await;
+    }
+    let response = match fault {
+        Some(Fault::AnswerLost) => return reset(),
+        Some(Fault::Failed) => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        _ if is_stream => events(after, fault == Some(Fault::CutShort)),
+        Some(Fault::CutShort) => cut_short(),
+        _ => plain(StatusCode::OK, format!("answer of {id}")),
+    };
+    let other = HeaderValue::from_static("other-id");
+    let echo = match fault {
+        Some(Fault::OtherId) => Some(other),
+        _ => request_id,
+    };
+    let mut response = match fault {
+        Some(Fault::Unsigned) => response,
+        _ => named(response, "x-server-stamp", &format!("stamp-{id}")),
+    };
+    if let Some(echo) = echo {
+        response.headers_mut().insert("x-request-id", echo);
+    }
+    match fault {
+        Some(Fault::Encoded) => named(response, "content-encoding", "gzip"),
+        _ => response,
+    }
+}
+
+fn named(mut response: Response<Body>, name: &'static str, value: &str) -> Response<Body> {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        let name = HeaderName::from_static(name);
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+fn cut_short() -> Response<Body> {
+    let parts = [
+        Ok(Frame::data(Bytes::from_static(b"half"))),
+        Err(io::Error::other("cut short")),
+    ];
+    Response::new(StreamBody::new(stream::iter(parts)).boxed())
+}
+
+/// The events after `after`; a stream that is cut ends within its third event.
+fn events(after: u64, is_cut: bool) -> Response<Body> {
+    let text = |id: u64| format!("id: {id}\ndata: event {id}\n\n");
+    let mut parts: Vec<Result<Frame<Bytes>, io::Error>> = (after + 1..=EVENTS)
+        .map(|id| Ok(Frame::data(Bytes::from(text(id)))))
+        .collect();
+    if is_cut {
+        parts.truncate(2);
+        parts.push(Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))));
+        parts.push(Err(io::Error::other("cut short")));
+    }
+    // Each part is a chunk of its own.
+    let parts = stream::unfold(parts.into_iter(), |mut parts| async {
+        let next = parts.next()?;
+        Timer::after(Duration::from_millis(2)).await;
+        Some((next, parts))
+    });
+    let response = Response::new(StreamBody::new(parts).boxed());
+    named(response, "content-type", "text/event-stream")
+}
--- /dev/null
+++ b/standins/src/platform/store.rs
@@ -0,0 +1,230 @@
+//! Stand-in for the platform's store: rows with a history that can be watched, and faults.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use smol::Timer;
+
+use crate::serve::{Body, Server, json_answer, plain, query, reset};
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    Serving,
+    /// Never.
+    Silent,
+    /// With this status.
+    Refusing(StatusCode),
+    /// By closing the connection.
+    Resetting,
+    /// As it should, after this time.
+    Slow(Duration),
+}
+
+/// Rows of one page of a read.
+const PAGE_ROWS: usize = 3;
+const WATCH_POLL: Duration = Duration::from_millis(5);
+
+#[derive(Debug, Clone)]
+struct Change {
+    version: u64,
+    table: String,
+    key: String,
+    content: Option<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    history: Vec<Change>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    mode: Mode,
+    calls: u64,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct PlatformStore {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl PlatformStore {
+    /// Starts an empty store.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            version: 0,
+            forgotten: 0,
+            mode: Mode::Serving,
+            calls: 0,
+        }));
+        let shared = Arc::clone(&state);
+        let server = Server::bind(address, move |request| answer(Arc::clone(&shared), request))?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, content: &Value) {
+        self.put_bytes(table, key, content.to_string().as_bytes());
+    }
+
+    /// Writes a row of any bytes.
+    pub fn put_bytes(&self, table: &str, key: &str, content: &[u8]) {
+        self.state.lock().write(table, key, Some(content.to_vec()));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.state.lock().write(table, key, None);
+    }
+
+    /// Sets how the store answers from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state.lock().mode = mode;
+    }
+
+    /// Forgets all history.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock();
+        state.history.clear();
+        state.forgotten = state.version;
+        // A watcher at the newest version has missed nothing; one further behind has.
+        state.version += 1;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+impl State {
+    fn write(&mut self, table: &str, key: &str, content: Option<Vec<u8>>) {
+        self.version += 1;
+        let id = (table.to_owned(), key.to_owned());
+        match &content {
+            Some(content) => _ = self.rows.insert(id, (content.clone(), self.version)),
+            None => _ = self.rows.remove(&id),
+        }
+        self.history.push(Change {
+            version: self.version,
+            table: table.to_owned(),
+            key: key.to_owned(),
+            content,
+        });
+    }
+
+    fn page(&self, table: &str, from: &str) -> Value {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|((t, key), _)| t == table && key.as_str() >= from);
+        let mut rows: Vec<Value> = rows
+            .map(|((_, key), (content, version))| row(table, key, Some(content), *version))
+            .collect();
+        let is_truncated = rows.len() > PAGE_ROWS;
+        rows.truncate(PAGE_ROWS);
+        json!({"Rows": rows, "Truncated": is_truncated, "Ver": self.version, "NowMs": 0})
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let changes = self.history.iter();
+        let changes = changes.filter(|change| change.table == table && change.version > after);
+        changes
+            .map(|change| {
+                row(
+                    table,
+                    &change.key,
+                    change.content.as_deref(),
+                    change.version,
+                )
+            })
+            .collect()
+    }
+}
+
+fn row(table: &str, key: &str, content: Option<&[u8]>, version: u64) -> Value {
+    match content {
+        Some(content) => json!({
+            "Table": table, "part": "", "Key": key,
+            "Value": STANDARD.encode(content), "Ver": version,
+        }),
+        None => json!({"Table": table, "part": "", "Key": key, "Removed": true, "Ver": version}),
+    }
+}
+
+async fn answer(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
+    let mode = {
+        let mut state = state.lock();
+        state.calls += 1;
+        state.mode
+    };
+    match mode {
+        Mode::Serving => {}
+        Mode::Silent => std::future::pending().await,
+        Mode::Refusing(status) => return plain(status, ""),
+        Mode::Resetting => return reset(),
+        Mode::Slow(delay) => _ = Timer::after(delay).await,
+    }
+    let table = query(&request, "Table").unwrap_or_default();
+    match request.uri().path() {
+        "/jujubeusher/rows-get" => {
+            let from = query(&request, "From").unwrap_or_default();
+            json_answer(StatusCode::OK, &state.lock().page(&table, &from))
+        }
+        "/jujubeusher/rows-feed" => {
+            let number = |name| query(&request, name).and_then(|text| text.parse().ok());
+            let after = number("SinceRev").unwrap_or(0);
+            let wait = Duration::from_millis(number("WaitMs").unwrap_or(0));
+            watch(&state, &table, after, wait).await
+        }
+        _ => plain(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn watch(state: &Mutex<State>, table: &str, after: u64, wait: Duration) -> Response<Body> {
+    let end = Instant::now() + wait;
+    loop {
+        let answered = {
+            let state = state.lock();
+            if after < state.forgotten {
+                Some((StatusCode::GONE, json!({})))
+            } else {
+                let rows = state.changes(table, after);
+                let is_over = Instant::now() >= end;
+                let answer = json!({"Rows": rows, "Ver": state.version, "NowMs": 0});
+                (is_over || !rows.is_empty()).then_some((StatusCode::OK, answer))
+            }
+        };
+        if let Some((status, answer)) = answered {
+            return json_answer(status, &answer);
+        }
+        Timer::after(WATCH_POLL).await;
+        // An outage cuts the calls that wait, too.
+        let mode = state.lock().mode;
+        match mode {
+            Mode::Serving | Mode::Slow(_) => {}
+            Mode::Silent => std::future::pending().await,
+            Mode::Refusing(_) | Mode::Resetting => return reset(),
+        }
+    }
+}
