Write the log through a bounded queue to standard output, and serve metrics and a dump

Cause: lines went to standard error one write each, in the request's thread, so a reader that stops reading would have held up requests. Counters, histograms and the state dump are on the platform's control address. A request that every server declined is now logged as not_accepted rather than no_server.

The state that filters share moves from router.rs to app.rs, below the filters, and with it the flight counter and the deferred queue to control/; behaviour unchanged.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -9,11 +9,11 @@
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 
+use crate::app::App;
 use crate::error::Result;
 use crate::http::server::{Server, ServerLimits};
 use crate::http::{Body, full_body};
 use crate::ids::RequestId;
-use crate::router::App;
 
 /// Opens the operators' port of a router.
 pub fn bind(app: &Arc<App>) -> Result<Server> {
--- /dev/null
+++ b/src/app.rs
@@ -0,0 +1,141 @@
+//! State that the filters of all requests share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use serde_json::{Value, json};
+
+use crate::config::settings::RouterSettings;
+use crate::control::claims::Claims;
+use crate::control::config::ConfigStore;
+use crate::control::deferred::DeferredQueue;
+use crate::control::flight::FlightCounter;
+use crate::control::load::LoadTable;
+use crate::control::members::Members;
+use crate::control::preempt::FreeWork;
+use crate::control::probe::LiveRouters;
+use crate::control::retries::Retries;
+use crate::control::strikes::Strikes;
+use crate::control::suspects::Suspects;
+use crate::control::teams::Teams;
+use crate::decide::hint::HintKey;
+use crate::decide::strikes::StrikePolicy;
+use crate::edge::clock::Clock;
+use crate::edge::object::ObjectStore;
+use crate::edge::table::Table;
+use crate::http::pool::Pool;
+use crate::observe::metrics::Metrics;
+use crate::observe::recorder::Recorder;
+use crate::observe::ring::Ring;
+use crate::peer::{Health, PeerHandle};
+use crate::runtime::Runtime;
+
+/// State that the filters of all requests share.
+pub struct App {
+    /// Settings of this process.
+    pub settings: RouterSettings,
+    /// Threads that run the tasks.
+    pub runtime: Runtime,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's object store.
+    pub objects: Arc<dyn ObjectStore>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Configuration in force.
+    pub config: ConfigStore,
+    /// Other routers.
+    pub peers: PeerHandle,
+    /// Liveness of backend servers.
+    pub members: Members,
+    /// Load of backend servers.
+    pub load: LoadTable,
+    /// Teams' use of the fleet.
+    pub teams: Teams,
+    /// Free work that can be cancelled.
+    pub free_work: FreeWork,
+    /// Deferred work that waits.
+    pub deferred: DeferredQueue,
+    /// Signs and checks placement hints.
+    pub hint_key: HintKey,
+    /// Live routers, for the choice of those that probe a server.
+    pub live_routers: LiveRouters,
+    /// Retry budgets.
+    pub retries: Retries,
+    /// Requests that crash servers.
+    pub strikes: Strikes,
+    /// Servers that failed lately.
+    pub suspects: Suspects,
+    /// Claims of non-idempotent calls.
+    pub claims: Claims,
+    /// Requests in flight.
+    pub in_flight: FlightCounter,
+    /// Instruments.
+    pub metrics: Metrics,
+    /// Records decision inputs.
+    pub recorder: Recorder,
+    /// Records of recent requests.
+    pub ring: Ring,
+    /// Whether new requests are welcome.
+    pub is_ready: AtomicBool,
+}
+
+impl App {
+    /// The rules on strikes now in force.
+    pub fn strike_policy(&self) -> StrikePolicy {
+        let rules = &self.config.current().inventory.rules;
+        StrikePolicy {
+            strikes_max: rules.strikes_max,
+            quarantine_ms: rules.quarantine_ms,
+        }
+    }
+
+    /// State of this process as JSON.
+    pub fn dump(&self) -> Value {
+        let configuration = self.config.current();
+        let servers: Vec<Value> = configuration
+            .inventory
+            .servers
+            .values()
+            .map(|server| {
+                json!({
+                    "server": server,
+                    "health": self.members.view().get(&server.id).unwrap_or(&Health::Alive),
+                    "load": self.load.view(&server.id),
+                    "load_age_ms": self.load.age_ms(&server.id),
+                    "own_requests": self.load.own(&server.id),
+                })
+            })
+            .collect();
+        let teams: Vec<Value> = self
+            .teams
+            .in_flight()
+            .into_iter()
+            .map(|(team, own, all)| json!({"team": team, "own": own, "fleet": all}))
+            .collect();
+        json!({
+            "router": self.settings.name,
+            "zone": self.settings.zone,
+            "region": self.settings.region,
+            "is_ready": self.is_ready.load(Ordering::Relaxed),
+            "uptime_ms": self.clock.monotonic_ms(),
+            "requests_in_flight": self.in_flight.total(),
+            "deferred_waiting": self.deferred.len(),
+            "teams": teams,
+            "requests_struck": self.strikes.len(),
+            "requests_quarantined": self.strikes.quarantined(self.clock.monotonic_ms()),
+            "servers_suspect": self.suspects.names(),
+            "claims_settling": self.claims.settling(),
+            "config": {
+                "version": configuration.version,
+                "change_id": configuration.change_id,
+                "rules": configuration.inventory.rules,
+            },
+            "is_cut_off": self.peers.is_cut_off(),
+            "peers": self.peers.dump(),
+            "servers": servers,
+        })
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,7 +4,9 @@
 pub mod claims;
 pub mod commit;
 pub mod config;
+pub mod deferred;
 pub mod exchange;
+pub mod flight;
 pub mod leases;
 pub mod load;
 pub mod members;
--- a/src/control/strike_sync.rs
+++ b/src/control/strike_sync.rs
@@ -4,10 +4,9 @@
 
 use futures_lite::FutureExt;
 
+use crate::app::App;
 use crate::decide::strikes::{Fingerprint, StrikeDelta, StrikePolicy};
-use crate::filter::call::strike_policy;
 use crate::peer::{Delta, Scope, StrikeRow};
-use crate::router::App;
 use crate::runtime::Shutdown;
 
 /// Starts to exchange strikes until the shutdown.
@@ -25,7 +24,7 @@
 async fn send(app: &App) {
     loop {
         app.strikes.changed().await;
-        let policy = strike_policy(app);
+        let policy = app.strike_policy();
         let deltas = app.strikes.drain_outgoing(app.clock.monotonic_ms());
         let rows: Vec<Delta> = deltas.iter().map(|d| to_row(d, policy)).collect();
         if !rows.is_empty() {
@@ -40,7 +39,7 @@
         let Delta::Strike(row) = delta else {
             continue;
         };
-        let policy = strike_policy(app);
+        let policy = app.strike_policy();
         let now_ms = app.clock.monotonic_ms();
         let delta = from_row(&row, policy);
         app.strikes.apply_remote(&[delta], now_ms, policy);
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -212,6 +212,11 @@
         is_usable.then_some(&entry.registration)
     }
 
+    /// All known servers.
+    pub fn all(&self) -> impl Iterator<Item = &Registration> {
+        self.entries.values().map(|entry| &entry.registration)
+    }
+
     /// Address of a server that still runs, whether it takes requests or not.
     pub fn address(&self, id: &ServerId) -> Option<SocketAddr> {
         let entry = self.entries.get(id).filter(|entry| !entry.is_misdirected)?;
--- a/src/filter/admit.rs
+++ b/src/filter/admit.rs
@@ -1,11 +1,10 @@
 //! Admission by load, class and team.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::StatusCode;
 
+use crate::app::App;
 use crate::config::inventory::{BackendServer, ServerState};
 use crate::control::teams::{Ask, TeamTicket, threshold};
 use crate::decide::admit::{Decision, Reason, Request};
@@ -13,43 +12,11 @@
 use crate::filter::limit::deadline_passed;
 use crate::filter::{RequestContext, Verdict};
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Time between tries of waiting work.
 const WAIT_POLL: Duration = Duration::from_millis(50);
 const RETRY_AFTER_S: u32 = 1;
 
-/// Counts deferred work that waits for room.
-#[derive(Debug, Clone, Default)]
-pub struct DeferredQueue(Arc<AtomicUsize>);
-
-/// A place in the queue.
-struct Place(DeferredQueue);
-
-impl DeferredQueue {
-    /// Requests that wait.
-    pub fn len(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    /// Whether none waits.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    fn enter(&self, max: usize) -> Option<Place> {
-        let place = Place(self.clone());
-        // The place counts itself out again where the queue was full.
-        (self.0.fetch_add(1, Ordering::Relaxed) < max).then_some(place)
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Admits the request, lets deferred work wait, or refuses for lack of capacity.
 pub async fn apply(app: &App, context: &mut RequestContext) -> Verdict {
     let mut place = None;
--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -1,19 +1,18 @@
 //! One attempt on one backend server: from the connection to a whole answer or to the
 //! first event of a stream.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 
+use crate::app::App;
 use crate::config::inventory::BackendServer;
 use crate::control::load::LoadTicket;
 use crate::control::strikes::Isolation;
@@ -24,7 +23,7 @@
 use crate::http::pool::{Connection, SendError};
 use crate::http::sse::{Decoder, Event};
 use crate::ids::{AttemptId, RunState, ServerId};
-use crate::router::App;
+use crate::runtime::within;
 
 /// Largest whole answer that is held in memory.
 const BODY_MAX_BYTES: usize = 64 << 20;
@@ -190,19 +189,6 @@
     }
 }
 
-/// A future's result, or none once the time is over.
-pub async fn within<F>(limit: Duration, future: F) -> Option<F::Output>
-where
-    F: Future,
-{
-    async { Some(future.await) }
-        .or(async {
-            smol::Timer::after(limit).await;
-            None
-        })
-        .await
-}
-
 async fn send(
     app: &App,
     address: SocketAddr,
--- a/src/filter/call.rs
+++ b/src/filter/call.rs
@@ -9,11 +9,11 @@
 use hyper::{Method, Request};
 use serde_json::Value;
 
+use crate::app::App;
 use crate::config::inventory::Target;
-use crate::decide::strikes::{Fingerprint, StrikePolicy};
+use crate::decide::strikes::Fingerprint;
 use crate::filter::{RequestContext, choose};
 use crate::ids::{AttemptId, ChatId, Class, Repeat, RequestId, ServerId};
-use crate::router::App;
 
 /// Headers of the caller that a backend server gets to see.
 const PASSED_HEADERS: [&str; 4] = [
@@ -147,12 +147,3 @@
     let request = call.request(address, attempt, call.body.clone());
     request.map_err(|error| error.to_string())
 }
-
-/// The rules on strikes now in force.
-pub fn strike_policy(app: &App) -> StrikePolicy {
-    let rules = &app.config.current().inventory.rules;
-    StrikePolicy {
-        strikes_max: rules.strikes_max,
-        quarantine_ms: rules.quarantine_ms,
-    }
-}
--- a/src/filter/cancel.rs
+++ b/src/filter/cancel.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use hyper::Method;
 
+use crate::app::App;
 use crate::http::client::Client;
 use crate::ids::AttemptId;
-use crate::router::App;
 
 /// Longest wait for the engine's answer to a cancel.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/filter/choose.rs
+++ b/src/filter/choose.rs
@@ -4,6 +4,7 @@
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
+use crate::app::App;
 use crate::config::inventory::{BackendServer, Inventory, ServerState, Target};
 use crate::decide::admit::Reason;
 use crate::decide::hint::Hint;
@@ -13,7 +14,6 @@
 use crate::ids::{ChatId, Class, ServerId, Urgency};
 use crate::peer::Health;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Request and response header of the placement hint.
 pub const HINT_HEADER: &str = "x-placement-hint";
--- a/src/filter/claim.rs
+++ b/src/filter/claim.rs
@@ -7,13 +7,13 @@
 use hyper::{Response, StatusCode};
 use sha2::{Digest, Sha256};
 
+use crate::app::App;
 use crate::control::claims::{Acquired, HeldClaim};
 use crate::decide::claim::{Denial, Outcome};
 use crate::filter::{RequestContext, Verdict};
 use crate::http::{Body, full_body};
 use crate::ids::RunState;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Longest idempotency key.
 const KEY_MAX_BYTES: usize = 200;
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -6,16 +6,16 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 
+use crate::app::App;
 use crate::control::strikes::{Death, Isolation};
 use crate::decide::retry::{GiveUp, Situation, Tries};
 use crate::decide::strikes::Standing;
 use crate::filter::attempt::{self, AttemptError, FailureKind};
-use crate::filter::call::{Call, strike_policy};
+use crate::filter::call::Call;
 use crate::filter::{RequestContext, Verdict, quarantine};
 use crate::ids::{AttemptId, RunState, ServerId};
 use crate::observe::ring::{AttemptRecord, RequestRecord};
 use crate::refusal::Refusal;
-use crate::router::App;
 
 pub use crate::filter::attempt::Upstream;
 
@@ -197,7 +197,7 @@
         let now_ms = app.clock.monotonic_ms();
         match app
             .strikes
-            .standing(call.fingerprint, now_ms, strike_policy(app))
+            .standing(call.fingerprint, now_ms, app.strike_policy())
         {
             Standing::Clear => return Ok((server, None)),
             Standing::Quarantined { left_ms } => {
@@ -307,7 +307,7 @@
         now_ms: broken_ms,
     };
     app.members.failed(server);
-    app.strikes.on_death(server, death, strike_policy(app));
+    app.strikes.on_death(server, death, app.strike_policy());
     app.metrics.strike();
     true
 }
--- a/src/filter/dispatch_once.rs
+++ b/src/filter/dispatch_once.rs
@@ -17,6 +17,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::app::App;
 use crate::config::inventory::ServerState;
 use crate::control::claims::HeldClaim;
 use crate::control::load::LoadTicket;
@@ -32,7 +33,6 @@
 use crate::ids::{AttemptId, RunState, ServerId};
 use crate::observe::ring::AttemptRecord;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Largest answer that is read.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
--- a/src/filter/drain.rs
+++ b/src/filter/drain.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use hyper::Method;
 
+use crate::app::App;
 use crate::config::inventory::{BackendServer, ServerState};
 use crate::filter::RequestContext;
 use crate::http::client::Client;
-use crate::router::App;
 
 /// Longest wait for one side of a move; beyond it a cache miss is cheaper.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/filter/identify.rs
+++ b/src/filter/identify.rs
@@ -10,11 +10,11 @@
 use sha2::{Digest, Sha256};
 
 use crate::admin::json_answer;
+use crate::app::App;
 use crate::config::inventory::Target;
 use crate::filter::{RequestContext, Verdict, record};
 use crate::ids::{ChatId, ModelId, Repeat, Urgency};
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Path of the list of models.
 pub const MODELS_PATH: &str = "/v1/models";
--- a/src/filter/limit.rs
+++ b/src/filter/limit.rs
@@ -1,6 +1,5 @@
 //! Limits on bodies, on requests in flight and on time.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -8,110 +7,12 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use indexmap::IndexMap;
-use parking_lot::Mutex;
 
+use crate::app::App;
 use crate::config::settings::Limits;
-use crate::control::teams::TeamTicket;
+use crate::control::flight::InFlight;
 use crate::filter::{RequestContext, Verdict};
-use crate::ids::TeamId;
 use crate::refusal::Refusal;
-use crate::router::App;
-
-#[derive(Debug, Default, Clone, Copy)]
-struct Usage {
-    requests: usize,
-    body_bytes: usize,
-}
-
-#[derive(Debug, Default)]
-struct Counts {
-    total: Usage,
-    by_team: IndexMap<TeamId, Usage>,
-}
-
-/// Requests in flight in this process and the bytes of their bodies, in all and by team.
-#[derive(Debug, Clone, Default)]
-pub struct FlightCounter {
-    counts: Arc<Mutex<Counts>>,
-}
-
-impl FlightCounter {
-    /// A counter at zero.
-    pub fn open() -> Self {
-        Self::default()
-    }
-
-    /// Requests in flight.
-    pub fn total(&self) -> usize {
-        self.counts.lock().total.requests
-    }
-
-    fn enter(&self, team: &TeamId, total_max: usize, team_max: usize) -> Option<InFlight> {
-        let mut counts = self.counts.lock();
-        let of_team = counts.by_team.get(team).copied().unwrap_or_default();
-        if counts.total.requests >= total_max || of_team.requests >= team_max {
-            return None;
-        }
-        counts.total.requests += 1;
-        counts.by_team.entry(team.clone()).or_default().requests += 1;
-        Some(InFlight {
-            counter: self.clone(),
-            team: team.clone(),
-            body_bytes: 0,
-            admitted: None,
-        })
-    }
-}
-
-/// One request in flight; dropping it counts it out.
-#[derive(Debug)]
-pub struct InFlight {
-    counter: FlightCounter,
-    team: TeamId,
-    body_bytes: usize,
-    admitted: Option<TeamTicket>,
-}
-
-impl InFlight {
-    /// Keeps the ticket of the admission as long as the request is in flight.
-    pub fn keep(&mut self, ticket: TeamTicket) {
-        self.admitted = Some(ticket);
-    }
-
-    /// Counts bytes of the body, or refuses them for lack of room.
-    ///
-    /// One team may hold half of the total, so that its large bodies do not shut out others.
-    fn reserve(&mut self, bytes: usize, total_max: usize) -> bool {
-        let mut counts = self.counter.counts.lock();
-        let of_team = counts.by_team.get(&self.team).copied().unwrap_or_default();
-        if counts.total.body_bytes + bytes > total_max || of_team.body_bytes + bytes > total_max / 2
-        {
-            return false;
-        }
-        counts.total.body_bytes += bytes;
-        if let Some(of_team) = counts.by_team.get_mut(&self.team) {
-            of_team.body_bytes += bytes;
-        }
-        self.body_bytes += bytes;
-        true
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut counts = self.counter.counts.lock();
-        counts.total.requests -= 1;
-        counts.total.body_bytes -= self.body_bytes;
-        if let Some(of_team) = counts.by_team.get_mut(&self.team) {
-            of_team.requests -= 1;
-            of_team.body_bytes -= self.body_bytes;
-            if of_team.requests == 0 {
-                counts.by_team.swap_remove(&self.team);
-            }
-        }
-    }
-}
 
 /// Applies the limits and reads the body.
 pub async fn apply(app: &App, context: &mut RequestContext, body: Incoming) -> Verdict {
--- a/src/filter/mod.rs
+++ b/src/filter/mod.rs
@@ -25,17 +25,17 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 
+use crate::app::App;
 use crate::config::inventory::{Target, Team};
 use crate::control::config::Configuration;
+use crate::control::flight::InFlight;
 use crate::decide::retry::Tries;
 use crate::decide::strikes::Fingerprint;
 use crate::filter::attempt::Upstream;
-use crate::filter::limit::InFlight;
 use crate::http::Body;
 use crate::ids::{ChatId, Class, Repeat, RequestId, RunState, ServerId, Urgency};
 use crate::observe::ring::RequestRecord;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// What a filter decided.
 pub enum Verdict {
--- a/src/filter/preempt.rs
+++ b/src/filter/preempt.rs
@@ -9,13 +9,13 @@
 use hyper::body::Frame;
 use hyper::{Response, StatusCode};
 
+use crate::app::App;
 use crate::control::preempt::FreeGuard;
 use crate::filter::RequestContext;
 use crate::http::sse::Event;
 use crate::http::{Body, BodyError};
 use crate::ids::{Class, RunState, Urgency};
 use crate::refusal::Refusal;
-use crate::router::App;
 
 const RETRY_AFTER_S: u32 = 2;
 /// Part of the slots from which a server counts as full: estimates lag by some of the slots,
--- a/src/filter/quarantine.rs
+++ b/src/filter/quarantine.rs
@@ -2,11 +2,10 @@
 
 use hyper::StatusCode;
 
+use crate::app::App;
 use crate::decide::strikes::{Fingerprint, Standing};
-use crate::filter::call::strike_policy;
 use crate::filter::{RequestContext, Verdict};
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Takes the request's fingerprint and refuses it while it is quarantined.
 pub fn apply(app: &App, context: &mut RequestContext) -> Verdict {
@@ -20,7 +19,7 @@
     let now_ms = app.clock.monotonic_ms();
     match app
         .strikes
-        .standing(context.fingerprint, now_ms, strike_policy(app))
+        .standing(context.fingerprint, now_ms, app.strike_policy())
     {
         Standing::Clear | Standing::Struck => Verdict::Continue,
         Standing::Quarantined { left_ms } => {
--- a/src/filter/record.rs
+++ b/src/filter/record.rs
@@ -4,12 +4,12 @@
 
 use hyper::Response;
 
+use crate::app::App;
 use crate::filter::RequestContext;
 use crate::http::Body;
 use crate::ids::RunState;
 use crate::observe::ring::RequestRecord;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// Records a finished request.
 pub fn finish(app: &App, mut record: RequestRecord, outcome: &str) {
--- a/src/filter/relay.rs
+++ b/src/filter/relay.rs
@@ -7,12 +7,12 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 
+use crate::app::App;
 use crate::filter::attempt::{Answer, Upstream};
 use crate::filter::{RequestContext, Verdict, record};
 use crate::http::{Body, full_body};
 use crate::ids::RunState;
 use crate::refusal::Refusal;
-use crate::router::App;
 
 /// A request that passed the chain without an answer.
 pub fn unanswered() -> Refusal {
--- a/src/filter/relay/stream.rs
+++ b/src/filter/relay/stream.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use serde_json::json;
 
+use crate::app::App;
 use crate::decide::recovery::{Break, Recovery, Step, Taken};
 use crate::decide::retry::Tries;
 use crate::filter::attempt::{self, Answer, FailureKind, Upstream};
@@ -21,7 +22,6 @@
 use crate::http::sse::Event;
 use crate::ids::Urgency;
 use crate::observe::ring::RequestRecord;
-use crate::router::App;
 
 /// Events that may wait for a slow caller before the engine's stream is held back.
 const QUEUE_EVENTS: usize = 64;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,6 @@
 use crate::decide::load::Report;
 use crate::decide::registry::Registration;
 use crate::edge::clock::Clock;
-use crate::filter::attempt::within;
 use crate::gateway::ask::Ask;
 use crate::gateway::protocol::{AnswerHead, AttemptHead};
 use crate::gateway::reach::{Heard, while_reachable};
@@ -23,6 +22,7 @@
 use crate::http::pool::{Connection, SendError};
 use crate::http::raw_events::{RawEvent, RawEvents};
 use crate::ids::RunState;
+use crate::runtime::within;
 
 /// Largest answer that is held until it is whole.
 const BODY_MAX_BYTES: usize = 16 << 20;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 
 use hyper::StatusCode;
 
-use crate::admin::text;
+use crate::admin::{json_answer, text};
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::Registration;
 use crate::edge::clock::{Clock, HostClock};
@@ -60,6 +60,7 @@
     state: Arc<State>,
     callers: Server,
     ready: Server,
+    admin: Server,
     stop: Shutdown,
 }
 
@@ -135,8 +136,9 @@
             pool,
             edges.callers,
             edges.backends,
-        ));
+        )?);
         let ready = bind_ready(&state)?;
+        let admin = bind_admin(&state)?;
         let callers = bind_callers(&state)?;
         let stop = Shutdown::new();
         let tables = Tables {
@@ -158,6 +160,7 @@
             state,
             callers,
             ready,
+            admin,
             stop,
         })
     }
@@ -190,6 +193,7 @@
             smol::Timer::after(STOP_POLL).await;
         }
         self.ready.stop();
+        self.admin.stop();
         self.stop.trigger();
         log::info!("event=stopped requests_left={}", self.state.in_flight());
     }
@@ -211,6 +215,24 @@
     )
 }
 
+/// Opens the operators' port: metrics and the state of the process.
+fn bind_admin(state: &Arc<State>) -> Result<Server> {
+    let asked = Arc::clone(state);
+    Server::bind(
+        &state.runtime,
+        state.settings().admin,
+        ServerLimits::default(),
+        move |request| {
+            let response = match request.uri().path() {
+                "/metrics" => text(StatusCode::OK, asked.metrics.render()),
+                "/dump" => json_answer(StatusCode::OK, &asked.dump()),
+                _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+            };
+            async move { response }
+        },
+    )
+}
+
 /// Callers may reuse connections for as long as the configuration allows; this is longer than
 /// any limit that it states.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,6 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::error::{Error, Result};
-use crate::filter::attempt::within;
 use crate::gateway::mirror::{Mirror, Origin, Update};
 use crate::gateway::relay::wire::Message;
 use crate::gateway::state::{RelaySettings, State};
@@ -23,6 +22,7 @@
 use crate::http::pool::connect;
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError, Side, handshake};
 use crate::runtime::Shutdown;
+use crate::runtime::within;
 
 /// Longest wait for a connection to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -12,7 +12,6 @@
 
 use crate::config::routing::{KeyHolder, Route, RoutingTable};
 use crate::decide::registry::Registration;
-use crate::filter::attempt::within;
 use crate::gateway::ask::{Ask, Sends};
 use crate::gateway::attempt::{self, Answer, Content, Failure, FailureKind, Limits};
 use crate::gateway::place;
@@ -22,6 +21,7 @@
 use crate::gateway::stream;
 use crate::http::{Body, full_body};
 use crate::ids::RunState;
+use crate::runtime::within;
 
 /// Answers one request.
 pub async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
@@ -35,8 +35,14 @@
         Err(rejection) => Err(rejection),
     };
     match result {
-        Ok(response) => response,
+        Ok(response) => {
+            state.metrics.request("answered");
+            let waited_ms = state.now_ms().saturating_sub(arrived_ms);
+            state.metrics.first_answer(waited_ms);
+            response
+        }
         Err(rejection) => {
+            state.metrics.request(rejection.code());
             log::info!(
                 "event=rejected id={} status={} code={} after_ms={} retry_after_ms={}",
                 id.as_ref().map_or("-", |id| id.as_str()),
@@ -187,6 +193,7 @@
         };
         match attempt::run(state, ask, &server, limits).await {
             Ok(answer) => {
+                state.metrics.attempt("answered");
                 state.reach.reached(&server.id);
                 let is_fault = answer.status.is_server_error();
                 state.reach.outcome(&server.id, is_fault, state.now_ms());
@@ -245,6 +252,7 @@
         failure.reason,
         state.now_ms().saturating_sub(ask.arrived_ms),
     );
+    state.metrics.attempt(failure.kind.as_str());
     if failure.kind.has_arrived() {
         sends.arrived += 1;
     }
@@ -300,8 +308,11 @@
 }
 
 fn unplaced(sends: &Sends, rejection: Rejection) -> Rejection {
-    match sends.ran {
-        0 => rejection,
+    match (sends.ran, sends.arrived) {
+        (0, 0) => rejection,
+        (0, _) => Rejection::NotAccepted {
+            retry_after_ms: place::retry_after_ms(),
+        },
         _ => Rejection::AnswerLost,
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
+use serde_json::{Value, json};
 
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
@@ -13,10 +14,12 @@
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetBound, RetryWindow};
 use crate::edge::clock::Clock;
+use crate::error::Result;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reach::Reach;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
+use crate::observe::gateway_metrics::GatewayMetrics;
 use crate::runtime::Runtime;
 
 /// Settings of a gateway.
@@ -30,6 +33,8 @@
     pub listen: SocketAddr,
     /// Address where the platform asks whether this router is ready.
     pub ready: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
     /// Most open connections of callers.
     pub connections_max: usize,
     /// Bound on the retries of all routers together.
@@ -64,6 +69,8 @@
     pub pool: Pool,
     /// Load of backend servers.
     pub load: LoadTable,
+    /// Instruments.
+    pub metrics: GatewayMetrics,
     /// Which servers can be reached and serve.
     pub reach: Reach,
     /// Protocol of the callers.
@@ -95,8 +102,9 @@
         pool: Pool,
         callers: Box<dyn CallerProtocol>,
         backends: Box<dyn BackendProtocol>,
-    ) -> Self {
-        Self {
+    ) -> Result<Self> {
+        Ok(Self {
+            metrics: GatewayMetrics::open()?,
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::open(Arc::clone(&clock)),
@@ -111,7 +119,7 @@
             homes: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
-        }
+        })
     }
 
     /// Monotonic time in ms.
@@ -202,6 +210,40 @@
         window.take(now_ms, &self.settings().retries, ROUTERS_ASSUMED)
     }
 
+    /// State of this process as JSON.
+    pub fn dump(&self) -> Value {
+        let now_ms = self.now_ms();
+        let settings = self.settings();
+        let routing = self.routing();
+        let registry = self.registry.lock();
+        let servers: Vec<Value> = registry
+            .all()
+            .map(|server| {
+                json!({
+                    "server": server.id,
+                    "service": server.service,
+                    "address": server.address,
+                    "zone": server.zone,
+                    "is_leaving": server.is_leaving,
+                    "incarnation": server.incarnation,
+                    "is_reachable": self.reach.is_reachable(&server.id),
+                    "own_requests": self.load.own(&server.id),
+                    "load_age_ms": self.load.age_ms(&server.id),
+                    "known_for_ms": registry.known_for_ms(&server.id, now_ms),
+                })
+            })
+            .collect();
+        json!({
+            "router": settings.name,
+            "zone": settings.zone,
+            "is_stopping": self.is_stopping(),
+            "uptime_ms": now_ms,
+            "requests_in_flight": self.in_flight(),
+            "config_version": routing.as_ref().map(|routing| routing.version),
+            "servers": servers,
+        })
+    }
+
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
         let knows_all = self.routing.read().is_some() && !self.registry.lock().is_empty();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -176,6 +176,7 @@
 
 impl Drop for Flow {
     fn drop(&mut self) {
+        self.state.metrics.stream(self.outcome, self.events);
         log::info!(
             "event=streamed id={} route={} service={} server={} outcome={} events={} sends={} ms={}",
             self.ask.id,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design.md` describes the parts, their state and what happens when one fails.
 
 pub mod admin;
+pub mod app;
 pub mod cli;
 pub mod config;
 pub mod control;
--- /dev/null
+++ b/src/observe/gateway_metrics.rs
@@ -0,0 +1,81 @@
+//! Instruments of a gateway.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+use crate::error::Result;
+use crate::observe::metrics::Exporter;
+
+/// Bounds of the latency histograms in ms.
+const LATENCY_BOUNDS_MS: [f64; 10] = [
+    5.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
+];
+
+/// Counters and histograms; all labels are from closed sets.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    exporter: Exporter,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    streams: Counter<u64>,
+    events: Counter<u64>,
+    first_answer_ms: Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    /// Makes all instruments.
+    pub fn open() -> Result<Self> {
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter();
+        Ok(Self {
+            requests: meter
+                .u64_counter("gateway.requests")
+                .with_description("Requests by outcome: answered, or the code of the rejection")
+                .build(),
+            attempts: meter
+                .u64_counter("gateway.attempts")
+                .with_description("Attempts on backend servers by result")
+                .build(),
+            streams: meter
+                .u64_counter("gateway.streams")
+                .with_description("Ended streams by outcome")
+                .build(),
+            events: meter
+                .u64_counter("gateway.events")
+                .with_description("Stream events sent to callers")
+                .build(),
+            first_answer_ms: meter
+                .f64_histogram("gateway.first_answer_ms")
+                .with_description("Time to the answer or a stream's first event in ms")
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            exporter,
+        })
+    }
+
+    /// Counts a request.
+    pub fn request(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the time to an answer.
+    pub fn first_answer(&self, duration_ms: u64) {
+        self.first_answer_ms.record(duration_ms as f64, &[]);
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, result: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts an ended stream.
+    pub fn stream(&self, outcome: &'static str, events: u64) {
+        self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.events.add(events, &[]);
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        self.exporter.render()
+    }
+}
--- /dev/null
+++ b/src/observe/logging/queue.rs
@@ -0,0 +1,127 @@
+//! A bounded queue of log lines, written out by a thread of its own.
+
+#[cfg(test)]
+mod tests;
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parking_lot::{Condvar, Mutex};
+
+/// Bytes that may wait; a busy router writes some 50 KB a second.
+const WAITING_MAX_BYTES: usize = 256 * 1024;
+/// Time for which lines collect before they are written together: a write for each line took
+/// more processor time than the line itself.
+const COLLECT: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Default)]
+struct State {
+    waiting: Vec<u8>,
+    dropped_lines: u64,
+    is_writing: bool,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// Handle on the queue. Clones share it.
+#[derive(Debug, Clone)]
+pub struct LogQueue {
+    shared: Arc<Shared>,
+}
+
+impl LogQueue {
+    /// Starts the thread that writes to `output`.
+    pub fn spawn<W>(output: W) -> io::Result<Self>
+    where
+        W: Write + Send + 'static,
+    {
+        let shared = Arc::new(Shared::default());
+        let drained = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || drain(&drained, output))?;
+        Ok(Self { shared })
+    }
+
+    /// A writer whose lines are queued when it is flushed.
+    pub fn writer(&self) -> QueueWriter {
+        QueueWriter {
+            shared: Arc::clone(&self.shared),
+            line: Vec::new(),
+        }
+    }
+
+    /// Waits until all lines are written, or until `limit` has passed; says whether they are.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let mut state = self.shared.state.lock();
+        while !state.waiting.is_empty() || state.is_writing {
+            if self.shared.changed.wait_until(&mut state, end).timed_out() {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+/// Collects one line.
+#[derive(Debug)]
+pub struct QueueWriter {
+    shared: Arc<Shared>,
+    line: Vec<u8>,
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let mut state = self.shared.state.lock();
+        match state.waiting.len() + self.line.len() <= WAITING_MAX_BYTES {
+            true => state.waiting.append(&mut self.line),
+            false => {
+                state.dropped_lines += 1;
+                self.line.clear();
+            }
+        }
+        self.shared.changed.notify_all();
+        Ok(())
+    }
+}
+
+fn drain<W>(shared: &Shared, mut output: W)
+where
+    W: Write,
+{
+    loop {
+        {
+            let mut state = shared.state.lock();
+            while state.waiting.is_empty() {
+                shared.changed.wait(&mut state);
+            }
+        }
+        thread::park_timeout(COLLECT);
+        let (mut lines, dropped_lines) = {
+            let mut state = shared.state.lock();
+            state.is_writing = true;
+            let lines = std::mem::take(&mut state.waiting);
+            (lines, std::mem::take(&mut state.dropped_lines))
+        };
+        if dropped_lines > 0 {
+            let note = format!("level=warn event=log_dropped lines={dropped_lines}\n");
+            lines.extend_from_slice(note.as_bytes());
+        }
+        // There is no place left to report a failure of the log itself.
+        let _ = output.write_all(&lines).and_then(|()| output.flush());
+        shared.state.lock().is_writing = false;
+        shared.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/src/observe/logging/queue/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+/// An output that blocks until it is released.
+#[derive(Clone, Default)]
+struct Blocked(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+
+impl Blocked {
+    fn release(&self) {
+        self.0.0.lock().0 = true;
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.0.0.lock().1.clone()).unwrap()
+    }
+}
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.0.0.lock();
+        while !state.0 {
+            self.0.1.wait(&mut state);
+        }
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[test]
+fn flush_reader_that_stops_reading_holds_up_nothing_and_lines_are_counted() {
+    let output = Blocked::default();
+    let queue = LogQueue::spawn(output.clone()).unwrap();
+    let mut writer = queue.writer();
+    let lines = 20_000;
+    let start = Instant::now();
+    for number in 0..lines {
+        writeln!(writer, "event=test number={number:040}").unwrap();
+        writer.flush().unwrap();
+    }
+    assert!(start.elapsed() < LIMIT / 4, "logging was held up");
+    assert!(!queue.flush(Duration::from_millis(10)));
+    output.release();
+    // A further line carries the count of those dropped.
+    writeln!(writer, "event=last").unwrap();
+    writer.flush().unwrap();
+    assert!(queue.flush(LIMIT));
+    let text = output.text();
+    let kept = text.matches("event=test").count() + text.matches("event=last").count();
+    let dropped = text
+        .lines()
+        .filter_map(|line| line.split_once("event=log_dropped lines="));
+    let dropped: usize = dropped
+        .map(|(_, count)| count.parse::<usize>().unwrap())
+        .sum();
+    assert!(dropped > 0);
+    assert_eq!(kept + dropped, lines + 1);
+}
+
+#[test]
+fn flush_lines_come_out_in_order() {
+    let output = Blocked::default();
+    output.release();
+    let queue = LogQueue::spawn(output.clone()).unwrap();
+    let mut writer = queue.writer();
+    for number in 0..3 {
+        writeln!(writer, "{number}").unwrap();
+        writer.flush().unwrap();
+    }
+    assert!(queue.flush(LIMIT));
+    assert_eq!(output.text(), "0\n1\n2\n");
+}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics, state dumps and the records of recent requests.
 
+pub mod gateway_metrics;
 pub mod logging;
 pub mod metrics;
 pub mod recorder;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
 use smol::{Executor, Task};
 
 type Workers = Arc<[Arc<Executor<'static>>]>;
@@ -138,6 +140,26 @@
     Arc::as_ptr(workers).cast::<()>() as usize
 }
 
+/// A future's result, or none once the time is over.
+///
+/// ```
+/// use std::time::Duration;
+/// use jujubeusher::runtime::within;
+/// let limit = Duration::from_secs(60);
+/// assert_eq!(smol::block_on(within(limit, async { 7 })), Some(7));
+/// ```
+pub async fn within<F>(limit: Duration, future: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    async { Some(future.await) }
+        .or(async {
+            smol::Timer::after(limit).await;
+            None
+        })
+        .await
+}
+
 /// Tells any number of tasks, once, that the process stops.
 #[derive(Debug, Clone)]
 pub struct Shutdown {
