--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -13,11 +13,14 @@
 use crate::ids::{Incarnation, ServerId, ServiceId, ZoneId};
 
 /// Time from the store's return within which living servers are registered again; a server
-/// that is still missing then is gone. The platform states about two seconds.
-const LAPSE_MS: u64 = 2_000;
-/// Time from the store's return within which rows of living servers may still expire: three
-/// heartbeats of the platform's usual 1.2 s.
-const EXPIRY_MS: u64 = 3_600;
+/// that is still missing then is gone. The platform states about two seconds, and two seconds
+/// as the least time in which a server that leaves must get no more requests.
+const LAPSE_MS: u64 = 1_900;
+/// Shortest outage in which rows of living servers expire: the platform drops a row after three
+/// heartbeats, some 1.2 s apart, of which the first may be due as the outage begins. After a
+/// shorter one, such as a change to another relay, a row that goes belongs to a server that
+/// leaves.
+const OUTAGE_MIN_MS: u64 = 2_400;
 
 /// What a server says of itself.
 #[derive(Debug, Clone, PartialEq)]
@@ -67,11 +70,19 @@
     joined_ms: u64,
 }
 
+impl Entry {
+    fn is_usable(&self, now_ms: u64) -> bool {
+        let has_lapsed = self.lapses_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
+        !self.registration.is_leaving && !self.is_misdirected && !has_lapsed
+    }
+}
+
 /// All servers that take requests, and those that no longer do.
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: IndexMap<ServerId, Entry>,
-    is_store_lost: bool,
+    store_lost_ms: Option<u64>,
+    /// Return of the store from the last outage in which rows may have expired.
     store_back_ms: Option<u64>,
 }
 
@@ -126,12 +137,7 @@
             self.entries.shift_remove(id);
             return Change::None;
         }
-        let back_ms = match (self.is_store_lost, self.store_back_ms) {
-            (true, _) => Some(now_ms),
-            (false, Some(back_ms)) if now_ms < back_ms + EXPIRY_MS => Some(back_ms),
-            _ => None,
-        };
-        let lapses_at_ms = back_ms.map(|back_ms| back_ms + LAPSE_MS);
+        let lapses_at_ms = self.store_back_ms.map(|back_ms| back_ms + LAPSE_MS);
         match lapses_at_ms.filter(|at_ms| *at_ms > now_ms) {
             Some(at_ms) => {
                 entry.lapses_at_ms.get_or_insert(at_ms);
@@ -168,14 +174,14 @@
     }
 
     /// The store does not answer.
-    pub fn store_lost(&mut self) {
-        self.is_store_lost = true;
+    pub fn store_lost(&mut self, now_ms: u64) {
+        self.store_lost_ms.get_or_insert(now_ms);
     }
 
     /// The store answers again.
     pub fn store_back(&mut self, now_ms: u64) {
-        if self.is_store_lost {
-            self.is_store_lost = false;
+        let lost_ms = self.store_lost_ms.take();
+        if lost_ms.is_some_and(|lost_ms| lost_ms + OUTAGE_MIN_MS <= now_ms) {
             self.store_back_ms = Some(now_ms);
         }
     }
@@ -197,19 +203,22 @@
     }
 
     /// Servers of a service that take new requests.
-    pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Registration> {
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Registration> {
         self.entries
             .values()
-            .filter(|entry| !entry.registration.is_leaving && !entry.is_misdirected)
+            .filter(move |entry| entry.is_usable(now_ms))
             .map(|entry| &entry.registration)
             .filter(move |registration| registration.service == *service)
     }
 
     /// A server that takes new requests.
-    pub fn get(&self, id: &ServerId) -> Option<&Registration> {
+    pub fn get(&self, id: &ServerId, now_ms: u64) -> Option<&Registration> {
         let entry = self.entries.get(id)?;
-        let is_usable = !entry.registration.is_leaving && !entry.is_misdirected;
-        is_usable.then_some(&entry.registration)
+        entry.is_usable(now_ms).then_some(&entry.registration)
     }
 
     /// All known servers.
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -22,7 +22,7 @@
 
 fn usable(registry: &Registry) -> Vec<String> {
     let service = ServiceId::from("s");
-    let ids = registry.usable(&service).map(|r| r.id.to_string());
+    let ids = registry.usable(&service, 0).map(|r| r.id.to_string());
     ids.collect()
 }
 
@@ -32,7 +32,7 @@
     registry.set(row("a", 5, 3), 0);
     assert_eq!(registry.set(row("a", 5, 2), 0), Change::Outdated);
     assert_eq!(registry.set(row("a", 4, 9), 0), Change::Outdated);
-    assert_eq!(registry.get(&ServerId::from("a")).unwrap().sequence, 3);
+    assert_eq!(registry.get(&ServerId::from("a"), 0).unwrap().sequence, 3);
 }
 
 #[test]
@@ -65,17 +65,32 @@
     let mut registry = Registry::default();
     registry.set(row("a", 1, 1), 0);
     registry.set(row("b", 1, 1), 0);
-    registry.store_lost();
+    registry.store_lost(7_000);
     registry.store_back(10_000);
     for id in ["a", "b"] {
         assert_eq!(registry.remove(&ServerId::from(id), 10_100), Change::Lapsed);
     }
     assert_eq!(usable(&registry), ["a", "b"]);
     assert_eq!(registry.set(row("a", 1, 2), 0), Change::Returned);
+    // The time counts by itself: nothing may have to happen for it to pass.
+    assert!(registry.get(&ServerId::from("b"), 11_899).is_some());
+    assert!(registry.get(&ServerId::from("b"), 11_900).is_none());
     assert_eq!(registry.expire(12_000), [ServerId::from("b")]);
     assert_eq!(usable(&registry), ["a"]);
 }
 
+/// A router that lost its relay and found another at once took the row of a server that left
+/// for a lapsed one, and sent it requests for 2.1 s.
+#[test]
+fn remove_row_after_a_change_of_relays_takes_the_server_out_at_once() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 1, 1), 0);
+    registry.store_lost(10_000);
+    registry.store_back(10_001);
+    assert_eq!(registry.remove(&ServerId::from("a"), 10_166), Change::Left);
+    assert!(usable(&registry).is_empty());
+}
+
 #[test]
 fn replace_unreadable_row_keeps_its_server() {
     let mut registry = Registry::default();
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -133,7 +133,8 @@
     }
 
     fn lost(&self) {
-        self.state.registry.lock().store_lost();
+        let now_ms = self.state.now_ms();
+        self.state.registry.lock().store_lost(now_ms);
     }
 
     fn reached(&self) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -157,12 +157,14 @@
 
     /// Servers of a service that take requests.
     pub fn usable(&self, service: &ServiceId) -> Vec<Registration> {
-        self.registry.lock().usable(service).cloned().collect()
+        let now_ms = self.now_ms();
+        let registry = self.registry.lock();
+        registry.usable(service, now_ms).cloned().collect()
     }
 
     /// A server that takes requests.
     pub fn registration(&self, server: &ServerId) -> Option<Registration> {
-        self.registry.lock().get(server).cloned()
+        self.registry.lock().get(server, self.now_ms()).cloned()
     }
 
     /// Notes that a server runs a request with these shared prompt parts.
