--- a/src/observe/logging/queue/tests.rs
+++ b/src/observe/logging/queue/tests.rs
@@ -1,27 +1,33 @@
 use super::*;
 
+#[derive(Default)]
+struct Output {
+    is_released: bool,
+    text: Vec<u8>,
+}
+
 /// An output that blocks until it is released.
 #[derive(Clone, Default)]
-struct Blocked(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Blocked(Arc<(Mutex<Output>, Condvar)>);
 
 impl Blocked {
     fn release(&self) {
-        self.0.0.lock().0 = true;
+        self.0.0.lock().is_released = true;
         self.0.1.notify_all();
     }
 
     fn text(&self) -> String {
-        String::from_utf8(self.0.0.lock().1.clone()).unwrap()
+        String::from_utf8(self.0.0.lock().text.clone()).unwrap()
     }
 }
 
 impl Write for Blocked {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut state = self.0.0.lock();
-        while !state.0 {
-            self.0.1.wait(&mut state);
+        let mut output = self.0.0.lock();
+        while !output.is_released {
+            self.0.1.wait(&mut output);
         }
-        state.1.extend_from_slice(bytes);
+        output.text.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
