--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -24,6 +24,10 @@
 /// Longest time for which a faulty server is chosen last.
 const DOUBT_MAX_MS: u64 = 4_000;
 
+/// Time for which a server that accepts no further connection is chosen last: some of its
+/// requests end within it.
+const CROWDED_MS: u64 = 100;
+
 #[derive(Debug, Clone, Default)]
 struct Entry {
     /// When the next look is due, for a server that cannot be reached.
@@ -66,6 +70,12 @@
         entry.is_some_and(|entry| entry.probe_at_ms.take().is_some())
     }
 
+    /// Notes that a server accepts no further connection.
+    pub fn crowded(&mut self, server: &ServerId, now_ms: u64) {
+        let entry = self.entries.entry(server.clone()).or_default();
+        entry.doubt_until_ms = entry.doubt_until_ms.max(now_ms + CROWDED_MS);
+    }
+
     /// Notes whether a server served a request.
     pub fn outcome(&mut self, server: &ServerId, is_fault: bool, now_ms: u64) {
         let mean = self.mean_fault_rate(server);
--- a/src/decide/health/tests.rs
+++ b/src/decide/health/tests.rs
@@ -61,3 +61,15 @@
     let book = book(&[("a", 1, 2)]);
     assert_eq!(book.order(vec![id("a"), id("b")], 1), [id("a"), id("b")]);
 }
+
+#[test]
+fn order_crowded_server_comes_last_for_a_moment() {
+    let mut book = HealthBook::default();
+    book.crowded(&id("a"), 0);
+    assert_eq!(book.order(vec![id("a"), id("b")], 1), [id("b"), id("a")]);
+    let later_ms = CROWDED_MS + 1;
+    assert_eq!(
+        book.order(vec![id("a"), id("b")], later_ms),
+        [id("a"), id("b")]
+    );
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -32,6 +32,8 @@
 pub enum FailureKind {
     /// No connection could be opened, or nothing was sent on it.
     Connect,
+    /// The server accepts no further connection.
+    Crowded,
     /// The server fell silent and can no longer be reached.
     Silent,
     /// The connection broke after the request was sent.
@@ -51,6 +53,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Connect => "connect",
+            Self::Crowded => "crowded",
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
@@ -63,14 +66,14 @@
     /// Whether the server may have run the request.
     pub fn run_state(self) -> RunState {
         match self {
-            Self::Connect | Self::NotRun | Self::Misdirected => RunState::NotRun,
+            Self::Connect | Self::Crowded | Self::NotRun | Self::Misdirected => RunState::NotRun,
             Self::Silent | Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
         }
     }
 
     /// Whether the server got the request.
     pub fn has_arrived(self) -> bool {
-        self != Self::Connect
+        !matches!(self, Self::Connect | Self::Crowded)
     }
 }
 
@@ -169,7 +172,7 @@
     /// Gives the connection back after the stream's end.
     pub fn close(mut self, state: &State) {
         if let Some(connection) = self.connection.take() {
-            give_back(state, self.server.address, connection, self.keep);
+            give_back(state, &self.server, connection, self.keep);
         }
     }
 }
@@ -179,9 +182,12 @@
 /// Time for which a connection is kept where the server states none.
 const KEEP_DEFAULT: Duration = Duration::from_secs(4);
 
-fn give_back(state: &State, address: SocketAddr, connection: Connection, keep: Option<Duration>) {
+fn give_back(state: &State, server: &Registration, connection: Connection, keep: Option<Duration>) {
     let keep = keep.map_or(KEEP_DEFAULT, |keep| keep.saturating_sub(KEEP_MARGIN));
-    state.pool.give_back_for(address, connection, keep);
+    let most = state.idle_max(&server.service);
+    state
+        .pool
+        .give_back_for(server.address, connection, keep, most);
 }
 
 /// Limits of one attempt.
@@ -217,6 +223,7 @@
         .map_err(silent)?;
     let (response, connection) = sent.ok_or_else(late)?.map_err(|error| match error {
         SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
+        SendError::Crowded => Failure::new(FailureKind::Crowded, error),
         SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
     })?;
     heard.note(state.now_ms());
@@ -256,7 +263,7 @@
                 .await
                 .map_err(silent)?;
             let bytes = read.ok_or_else(late)??;
-            give_back(state, server.address, connection, told.keep);
+            give_back(state, server, connection, told.keep);
             Content::Whole(bytes)
         }
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -108,6 +108,8 @@
 /// Longest wait for a connection to a backend server: all are within a few ms, and a lost
 /// packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time beyond a round trip in which a server's reset of a new connection arrives.
+const SETTLE: Duration = Duration::from_millis(1);
 /// Longest time for which the source of the routes may hold back an answer. A connection may
 /// fall silent, so this bounds how long a change can go unnoticed.
 const ROUTES_WAIT: Duration = Duration::from_millis(1_000);
@@ -128,7 +130,7 @@
     /// Starts a gateway.
     pub fn spawn(settings: GatewaySettings, runtime: &Runtime, edges: Edges) -> Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(HostClock::open());
-        let pool = Pool::open(runtime.clone(), CONNECT_TIMEOUT);
+        let pool = Pool::open_settling(runtime.clone(), CONNECT_TIMEOUT, SETTLE);
         let state = Arc::new(State::open(
             settings,
             runtime.clone(),
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -1,6 +1,7 @@
 //! Whether backend servers can be reached: signs of life, and looks by opening a connection.
 
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -65,6 +66,11 @@
         }
     }
 
+    /// A server accepts no further connection.
+    pub fn crowded(&self, server: &ServerId, now_ms: u64) {
+        self.book.lock().crowded(server, now_ms);
+    }
+
     /// Notes whether a server served a request.
     pub fn outcome(&self, server: &ServerId, is_fault: bool, now_ms: u64) {
         self.book.lock().outcome(server, is_fault, now_ms);
@@ -98,6 +104,11 @@
             state.reach.reached(&server.id);
             true
         }
+        // A server that closes a new connection at once has too many, and is reached.
+        Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {
+            state.reach.reached(&server.id);
+            true
+        }
         Err(_) => {
             state.pool.forget(server.address);
             state.reach.unreachable(&server.id, state.now_ms());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -89,6 +89,8 @@
 /// seven, and more may be added.
 const ROUTERS_ASSUMED: usize = 12;
 
+/// Idle connections to a server that are kept in any case.
+const IDLE_MIN: usize = 2;
 /// Time after a server's first registration for which prompts that moved to it may still be
 /// held by the server that had them before.
 const JOINED_LATELY_MS: u64 = 20_000;
@@ -246,6 +248,16 @@
         })
     }
 
+    /// Idle connections that this router keeps to each server of a service. A server counts
+    /// those of all routers towards the most that it accepts, so half of them at most may
+    /// lie idle.
+    pub fn idle_max(&self, service: &ServiceId) -> usize {
+        let routing = self.routing();
+        let service = routing.as_ref().and_then(|r| r.services.get(service));
+        let connections_max = service.map_or(0, |service| service.connections_max as usize);
+        (connections_max / ROUTERS_ASSUMED / 2).max(IDLE_MIN)
+    }
+
     /// Whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
         let knows_all = self.routing.read().is_some() && !self.registry.lock().is_empty();
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -26,6 +26,8 @@
 /// Idle connections older than this are closed, as a server may have dropped them.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const SHARDS: usize = 16;
+/// Longest round trip that is waited for; a lost packet makes a connection take a second.
+const SETTLE_MAX: Duration = Duration::from_millis(20);
 
 /// Opens a TCP connection within a time limit, without Nagle's delay.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
@@ -62,6 +64,10 @@
     /// No byte of it was written.
     #[error("{0}")]
     NotSent(String),
+    /// No byte of it was written, since the server closed the new connection at once: it has
+    /// as many as it accepts.
+    #[error("the server accepts no further connection")]
+    Crowded,
     /// The connection broke after some of it may have been written.
     #[error("{0}")]
     Broken(#[from] hyper::Error),
@@ -79,6 +85,7 @@
 pub struct Pool {
     runtime: Runtime,
     connect_timeout: Duration,
+    settle: Option<Duration>,
     shards: Arc<[Shard; SHARDS]>,
 }
 
@@ -94,10 +101,22 @@
         Self {
             runtime,
             connect_timeout,
+            settle: None,
             shards: Arc::new(std::array::from_fn(|_| Mutex::new(IndexMap::new()))),
         }
     }
 
+    /// An empty pool whose new connections carry nothing until a server that has too many
+    /// would have reset them: what was sent on such a connection may have run, as far as is
+    /// known, and could not be sent again. `settle` is the time beyond a round trip in which
+    /// a reset arrives.
+    pub fn open_settling(runtime: Runtime, connect_timeout: Duration, settle: Duration) -> Self {
+        Self {
+            settle: Some(settle),
+            ..Self::open(runtime, connect_timeout)
+        }
+    }
+
     /// Each worker has a shard of its own, as a connection is driven by the worker that
     /// opened it.
     fn shard(&self) -> &Shard {
@@ -125,9 +144,17 @@
 
     /// A new connection.
     pub async fn fresh(&self, address: SocketAddr) -> io::Result<Connection> {
+        let start = Instant::now();
         let stream = connect(address, self.connect_timeout).await?;
+        let round_trip = start.elapsed();
         let socket = Socket::new(stream);
         let watch = socket.watch();
+        if let Some(settle) = self.settle {
+            smol::Timer::after(round_trip.min(SETTLE_MAX) + settle).await;
+            if !watch.is_quiet() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        }
         let (sender, driver) = hyper::client::conn::http1::handshake(socket)
             .await
             .map_err(io::Error::other)?;
@@ -149,7 +176,10 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        let not_connected = |error: io::Error| SendError::NotSent(format!("connect: {error}"));
+        let not_connected = |error: io::Error| match error.kind() {
+            io::ErrorKind::ConnectionAborted => SendError::Crowded,
+            _ => SendError::NotSent(format!("connect: {error}")),
+        };
         let mut connection = self.take(address).await.map_err(not_connected)?;
         let mut error = match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, connection)),
@@ -170,14 +200,21 @@
 
     /// Takes back a connection whose answer was read to its end.
     pub fn give_back(&self, address: SocketAddr, connection: Connection) {
-        self.give_back_for(address, connection, IDLE_TIMEOUT);
+        self.give_back_for(address, connection, IDLE_TIMEOUT, IDLE_MAX);
     }
 
-    /// Takes back a connection that the server keeps open for `keep` while it is idle.
-    pub fn give_back_for(&self, address: SocketAddr, connection: Connection, keep: Duration) {
+    /// Takes back a connection that the server keeps open for `keep` while it is idle, unless
+    /// `most` to its address are idle already.
+    pub fn give_back_for(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        keep: Duration,
+        most: usize,
+    ) {
         let mut shard = self.shard().lock();
         let idle = shard.entry(address).or_default();
-        if idle.len() < IDLE_MAX {
+        if idle.len() < most.min(IDLE_MAX) {
             idle.push(Idle {
                 connection,
                 until: Instant::now() + keep.min(IDLE_TIMEOUT),
--- a/src/http/pool/tests.rs
+++ b/src/http/pool/tests.rs
@@ -61,3 +61,19 @@
     assert!(seen.starts_with("GET /late"), "{seen}");
     later.join().expect("the worker goes on");
 }
+
+/// A server that has as many connections as it accepts resets a new one. A once-only request
+/// that had been written to it could not be sent anywhere else.
+#[test]
+fn send_reset_new_connection_carries_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || drop(listener.accept().expect("a connection")));
+    let runtime = Runtime::spawn(1);
+    // Far longer than a reset takes on one host, however busy.
+    let settle = Duration::from_secs(1);
+    let pool = Pool::open_settling(runtime.clone(), Duration::from_secs(5), settle);
+    let error = smol::block_on(pool.fresh(address)).expect_err("it was reset");
+    server.join().expect("the server ends");
+    assert_eq!(error.kind(), io::ErrorKind::ConnectionAborted);
+}
