--- /dev/null
+++ b/src/decide/fleet_counts.rs
@@ -0,0 +1,113 @@
+//! Requests that all routers together have on each server, from the counts that reach this one.
+
+#[cfg(test)]
+mod tests;
+
+use indexmap::IndexMap;
+
+/// Number that stands for a server between routers.
+pub type ServerNumber = u64;
+/// Requests on each server.
+pub type Counts = IndexMap<ServerNumber, u32>;
+
+/// What the other end of a link counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Its own requests; it is told those of all routers.
+    Own,
+    /// Those of itself and of the routers that tell it theirs.
+    Group,
+    /// Those of all routers, this one included.
+    Fleet,
+}
+
+#[derive(Debug)]
+struct Link {
+    scope: Scope,
+    counts: Counts,
+}
+
+/// The counts that came over each link.
+#[derive(Debug, Default)]
+pub struct FleetCounts {
+    links: IndexMap<u64, Link>,
+    next: u64,
+}
+
+impl FleetCounts {
+    /// Opens a link; its counts begin at zero.
+    pub fn open(&mut self, scope: Scope) -> u64 {
+        self.next += 1;
+        let counts = Counts::new();
+        self.links.insert(self.next, Link { scope, counts });
+        self.next
+    }
+
+    /// Takes up counts that changed.
+    pub fn take<I>(&mut self, link: u64, changed: I)
+    where
+        I: IntoIterator<Item = (ServerNumber, u32)>,
+    {
+        let Some(link) = self.links.get_mut(&link) else {
+            return;
+        };
+        for (server, count) in changed {
+            match count {
+                0 => _ = link.counts.swap_remove(&server),
+                _ => _ = link.counts.insert(server, count),
+            }
+        }
+    }
+
+    /// Forgets a link and what came over it.
+    pub fn close(&mut self, link: u64) {
+        self.links.shift_remove(&link);
+    }
+
+    /// Requests of this router and of those that tell it theirs, for the other groups.
+    pub fn group(&self, own: &Counts) -> Counts {
+        let mut sum = own.clone();
+        self.add(&mut sum, Scope::Own);
+        sum
+    }
+
+    /// Requests of all routers but this one.
+    ///
+    /// ```
+    /// use jujubeusher::decide::fleet_counts::{Counts, FleetCounts, Scope};
+    /// let mut fleet = FleetCounts::default();
+    /// let own = Counts::from([(7, 2)]);
+    /// let seed = fleet.open(Scope::Fleet);
+    /// fleet.take(seed, [(7, 5)]);
+    /// assert_eq!(fleet.others(&own), Counts::from([(7, 3)]));
+    /// ```
+    pub fn others(&self, own: &Counts) -> Counts {
+        let mut sum = Counts::new();
+        self.add(&mut sum, Scope::Fleet);
+        for (server, count) in own {
+            if let Some(total) = sum.get_mut(server) {
+                *total = total.saturating_sub(*count);
+            }
+        }
+        self.add(&mut sum, Scope::Own);
+        self.add(&mut sum, Scope::Group);
+        sum
+    }
+
+    fn add(&self, sum: &mut Counts, scope: Scope) {
+        let links = self.links.values().filter(|link| link.scope == scope);
+        for (server, count) in links.flat_map(|link| &link.counts) {
+            *sum.entry(*server).or_default() += count;
+        }
+    }
+}
+
+/// What changed between what was told and what holds now.
+pub fn changes(told: &Counts, now: &Counts) -> Vec<(ServerNumber, u32)> {
+    let changed = now
+        .iter()
+        .filter(|(server, count)| told.get(*server) != Some(*count));
+    let gone = told.keys().filter(|server| !now.contains_key(*server));
+    let changed = changed.map(|(server, count)| (*server, *count));
+    changed.chain(gone.map(|server| (*server, 0))).collect()
+}
--- /dev/null
+++ b/src/decide/fleet_counts/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+/// Two groups of a seed and a subscriber each: every router has to see all four.
+#[test]
+fn others_every_router_sees_the_whole_fleet() {
+    let own: Vec<Counts> = [1, 2, 4, 8].map(|count| Counts::from([(7, count)])).into();
+    // Seeds 0 and 1; 2 subscribes to 0, and 3 to 1.
+    let mut seeds: Vec<FleetCounts> = (0..2).map(|_| FleetCounts::default()).collect();
+    for (index, seed) in seeds.iter_mut().enumerate() {
+        let subscriber = seed.open(Scope::Own);
+        seed.take(subscriber, own[index + 2].clone());
+    }
+    let groups = [seeds[0].group(&own[0]), seeds[1].group(&own[1])];
+    for (index, seed) in seeds.iter_mut().enumerate() {
+        let other = seed.open(Scope::Group);
+        seed.take(other, groups[1 - index].clone());
+    }
+    for (index, seed) in seeds.iter().enumerate() {
+        let others = seed.others(&own[index]);
+        assert_eq!(others[&7] + own[index][&7], 15);
+        let mut told = others;
+        *told.get_mut(&7).unwrap() += own[index][&7];
+        let mut subscriber = FleetCounts::default();
+        let link = subscriber.open(Scope::Fleet);
+        subscriber.take(link, told);
+        assert_eq!(
+            subscriber.others(&own[index + 2])[&7] + own[index + 2][&7],
+            15
+        );
+    }
+}
+
+#[test]
+fn close_forgets_what_a_lost_router_had() {
+    let mut fleet = FleetCounts::default();
+    let link = fleet.open(Scope::Own);
+    fleet.take(link, [(7, 3)]);
+    fleet.close(link);
+    fleet.take(link, [(7, 4)]);
+    assert!(fleet.others(&Counts::new()).is_empty());
+}
+
+#[test]
+fn changes_tell_what_is_new_other_or_gone() {
+    let told = Counts::from([(1, 1), (2, 2), (3, 3)]);
+    let now = Counts::from([(1, 1), (2, 5), (4, 4)]);
+    assert_eq!(changes(&told, &now), [(2, 5), (4, 4), (3, 0)]);
+    assert!(changes(&now, &now).is_empty());
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,9 +14,10 @@
 use rand::seq::SliceRandom;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::decide::fleet_counts::{Counts, Scope, changes};
 use crate::error::{Error, Result};
 use crate::gateway::mirror::{Mirror, Origin, Update};
-use crate::gateway::relay::wire::Message;
+use crate::gateway::relay::wire::{Count, Message};
 use crate::gateway::state::{RelaySettings, State};
 use crate::gateway::watch::{Position, Row, Rows};
 use crate::http::pool::connect;
@@ -31,6 +32,11 @@
 const SILENCE_MAX: Duration = Duration::from_millis(1_600);
 /// Pause after which the seeds are tried again while this router reads by itself.
 const RETRY: Duration = Duration::from_millis(1_500);
+/// Time between messages with counts. Requests run for about a second, so counts of this age
+/// are off by a few of a hundred.
+const COUNTS_PERIOD: Duration = Duration::from_millis(400);
+/// In place of a table's number in messages that are about none.
+const NO_TABLE: u32 = u32::MAX;
 /// Rows in one message, so that it stays far under the largest frame.
 const MESSAGE_ROWS: usize = 100;
 
@@ -53,6 +59,15 @@
         stop.clone(),
     );
     state.runtime.detach(accept);
+    if settings.seeds.contains(&settings.listen) {
+        for seed in settings
+            .seeds
+            .iter()
+            .filter(|seed| **seed != settings.listen)
+        {
+            state.runtime.detach(tell_seed(Arc::clone(state), *seed));
+        }
+    }
     state
         .runtime
         .detach(subscribe_loop(Arc::clone(state), Arc::clone(mirrors)));
@@ -107,14 +122,150 @@
     let _ = stream.set_nodelay(true);
     let (mut writer, mut reader) = handshake(stream, &relay_key(state), Side::Acceptor).await?;
     // The first message proves that the subscriber has the key.
-    reader.receive::<Message>(SILENCE_MAX).await?;
+    let (first, _) = reader.receive::<Message>(SILENCE_MAX).await?;
+    let scope = match first.is_seed {
+        true => Scope::Group,
+        false => Scope::Own,
+    };
+    let link = CountLink::open(state, scope);
+    let receive = receive_counts(&mut reader, &link);
+    match scope {
+        Scope::Group => receive.await,
+        _ => {
+            receive
+                .or(tell_subscriber(state, &mut writer, mirrors))
+                .await
+        }
+    }
+}
+
+/// A link over which counts come; they are forgotten with it.
+struct CountLink<'a> {
+    state: &'a State,
+    id: u64,
+}
+
+impl<'a> CountLink<'a> {
+    fn open(state: &'a State, scope: Scope) -> Self {
+        let id = state.fleet_counts.lock().open(scope);
+        Self { state, id }
+    }
+
+    fn take(&self, counts: &[Count]) {
+        let counts = counts.iter().map(|count| (count.server, count.requests));
+        self.state.fleet_counts.lock().take(self.id, counts);
+        self.state.apply_counts();
+    }
+}
+
+impl Drop for CountLink<'_> {
+    fn drop(&mut self) {
+        self.state.fleet_counts.lock().close(self.id);
+        self.state.apply_counts();
+    }
+}
+
+async fn receive_counts(
+    reader: &mut FrameReader,
+    link: &CountLink<'_>,
+) -> std::result::Result<(), LinkError> {
+    loop {
+        let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
+        link.take(&message.counts);
+    }
+}
+
+/// Passes on updates of the tables, and the counts of all routers now and then.
+async fn tell_subscriber(
+    state: &State,
+    writer: &mut FrameWriter,
+    mirrors: &Mirrors,
+) -> std::result::Result<(), LinkError> {
     let updates: Vec<_> = mirrors.iter().map(|mirror| mirror.subscribe()).collect();
+    let mut told = Counts::new();
+    let mut tick = smol::Timer::after(COUNTS_PERIOD);
     loop {
         let next = updates.iter().map(|updates| Box::pin(updates.recv()));
-        let (update, table, _) = select_all(next).await;
-        let update = update.map_err(|_| LinkError::Closed)?;
-        let sent = within(SILENCE_MAX, send(&mut writer, table as u32, update)).await;
+        let next = async { Some(select_all(next).await) };
+        let counts_due = async {
+            (&mut tick).await;
+            None
+        };
+        let sent = match next.or(counts_due).await {
+            Some((update, table, _)) => {
+                let update = update.map_err(|_| LinkError::Closed)?;
+                within(SILENCE_MAX, send(writer, table as u32, update)).await
+            }
+            None => {
+                tick = smol::Timer::after(COUNTS_PERIOD);
+                let own = state.own_counts();
+                let mut all = state.fleet_counts.lock().others(&own);
+                for (server, count) in own {
+                    *all.entry(server).or_default() += count;
+                }
+                within(SILENCE_MAX, send_counts(writer, &mut told, all)).await
+            }
+        };
+        sent.ok_or(LinkError::Silent)??;
+    }
+}
+
+/// Sends the counts that changed; without changes, an empty message that shows life.
+async fn send_counts(
+    writer: &mut FrameWriter,
+    told: &mut Counts,
+    now: Counts,
+) -> std::result::Result<(), LinkError> {
+    let counts = changes(told, &now).into_iter();
+    let counts = counts.map(|(server, requests)| Count { server, requests });
+    let message = Message {
+        table: NO_TABLE,
+        counts: counts.collect(),
+        ..Message::default()
+    };
+    writer.send(&message).await?;
+    *told = now;
+    Ok(())
+}
+
+/// Tells a seed the counts of this router, or of its group, until the link ends.
+async fn tell_counts(
+    state: &State,
+    writer: &mut FrameWriter,
+    is_seed: bool,
+) -> std::result::Result<(), LinkError> {
+    let mut told = Counts::new();
+    loop {
+        let own = state.own_counts();
+        let now = match is_seed {
+            true => state.fleet_counts.lock().group(&own),
+            false => own,
+        };
+        let sent = within(SILENCE_MAX, send_counts(writer, &mut told, now)).await;
         sent.ok_or(LinkError::Silent)??;
+        smol::Timer::after(COUNTS_PERIOD).await;
+    }
+}
+
+/// Keeps telling another seed the counts of this one's group.
+async fn tell_seed(state: Arc<State>, seed: SocketAddr) {
+    loop {
+        let told = async {
+            let stream = connect(seed, CONNECT_TIMEOUT).await?;
+            let (mut writer, _reader) = handshake(stream, &relay_key(&state), Side::Dialer).await?;
+            let first = Message {
+                table: NO_TABLE,
+                is_seed: true,
+                ..Message::default()
+            };
+            writer.send(&first).await?;
+            tell_counts(&state, &mut writer, true).await
+        };
+        let ended: std::result::Result<(), LinkError> = told.await;
+        if let Err(error) = ended {
+            log::debug!("event=seed_link_lost seed={seed} error=\"{error}\"");
+        }
+        smol::Timer::after(RETRY).await;
     }
 }
 
@@ -146,7 +297,7 @@
             rows: chunk.iter().map(Into::into).collect(),
             is_whole,
             has_more: !is_last,
-            is_lost: false,
+            ..Message::default()
         };
         writer.send(&message).await?;
         if is_last {
@@ -200,12 +351,34 @@
 ) -> std::result::Result<(), LinkError> {
     let stream = connect(seed, CONNECT_TIMEOUT).await?;
     let (mut writer, mut reader) = handshake(stream, &relay_key(state), Side::Dialer).await?;
-    writer.send(&Message::default()).await?;
+    let first = Message {
+        table: NO_TABLE,
+        ..Message::default()
+    };
+    writer.send(&first).await?;
+    let link = CountLink::open(state, Scope::Fleet);
+    let tell = tell_counts(state, &mut writer, false);
+    take_updates(&mut reader, seed, mirrors, &link)
+        .or(tell)
+        .await
+}
+
+/// Takes what a seed tells until the link fails, or until the seed has lost the tables.
+async fn take_updates(
+    reader: &mut FrameReader,
+    seed: SocketAddr,
+    mirrors: &Mirrors,
+    link: &CountLink<'_>,
+) -> std::result::Result<(), LinkError> {
     let mut heard = vec![false; mirrors.len()];
     let mut is_lost = false;
     let mut waiting: Vec<Vec<Row>> = vec![Vec::new(); mirrors.len()];
     loop {
-        let message = next(&mut reader).await?;
+        let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
+        if message.table == NO_TABLE {
+            link.take(&message.counts);
+            continue;
+        }
         let table = message.table as usize;
         let Some(mirror) = mirrors.get(table) else {
             return Err(LinkError::Protocol("the table is unknown"));
@@ -246,8 +419,3 @@
         }
     }
 }
-
-async fn next(reader: &mut FrameReader) -> std::result::Result<Message, LinkError> {
-    let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
-    Ok(message)
-}
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -26,6 +26,23 @@
     /// Whether the sender cannot reach the table.
     #[prost(bool, tag = "6")]
     pub is_lost: bool,
+    /// Requests on servers, where they changed since the message before.
+    #[prost(message, repeated, tag = "7")]
+    pub counts: Vec<Count>,
+    /// In the first message: the sender is a seed and tells only its group's counts.
+    #[prost(bool, tag = "8")]
+    pub is_seed: bool,
+}
+
+/// Requests on one server.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Count {
+    /// First bits of the hash of the server's id.
+    #[prost(uint64, tag = "1")]
+    pub server: u64,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
 }
 
 /// One row.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
+use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::prompt_homes::{PromptHomes, source};
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetBound, RetryWindow};
@@ -20,6 +21,7 @@
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
 use crate::observe::gateway_metrics::GatewayMetrics;
+use crate::peer::row::server_number;
 use crate::runtime::Runtime;
 
 /// Settings of a gateway.
@@ -81,6 +83,7 @@
     pub(super) registry: Mutex<Registry>,
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     homes: Mutex<PromptHomes>,
+    pub(super) fleet_counts: Mutex<FleetCounts>,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
 }
@@ -89,6 +92,8 @@
 /// seven, and more may be added.
 const ROUTERS_ASSUMED: usize = 12;
 
+/// Name under which the requests of all other routers are counted.
+const OTHER_ROUTERS: &str = "others";
 /// Idle connections to a server that are kept in any case.
 const IDLE_MIN: usize = 2;
 /// Time after a server's first registration for which prompts that moved to it may still be
@@ -119,6 +124,7 @@
             registry: Mutex::default(),
             retries: Mutex::default(),
             homes: Mutex::default(),
+            fleet_counts: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
         })
@@ -192,6 +198,28 @@
         registry.address(source)
     }
 
+    /// Requests of this router on each server.
+    pub fn own_counts(&self) -> Counts {
+        let registry = self.registry.lock();
+        let counts = registry.all().map(|server| {
+            let count = self.load.own(&server.id);
+            (server_number(&server.id), count)
+        });
+        counts.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Puts the counts of the other routers into the estimates of load.
+    pub fn apply_counts(&self) {
+        let own = self.own_counts();
+        let others = self.fleet_counts.lock().others(&own);
+        let all = RouterId::from(OTHER_ROUTERS);
+        let registry = self.registry.lock();
+        for server in registry.all() {
+            let count = others.get(&server_number(&server.id)).copied();
+            self.load.other_router(&all, &server.id, count.unwrap_or(0));
+        }
+    }
+
     /// Notes that another server has the address of this one.
     pub fn misdirected(&self, server: &ServerId) {
         log::warn!("event=server_misdirected server={server}");
