Divide the retry budget by the number of routers that the relay tells

The number comes with the counts and does not fall while a cut hides routers. The counts move to relay/counts.rs; two fields that nothing read go.

--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -75,8 +75,6 @@
 pub struct RoutedService {
     /// Connections that each of its servers accepts from all callers together.
     pub connections_max: u32,
-    /// Whether its servers are model engines.
-    pub is_engine: bool,
 }
 
 /// The team that a key belongs to.
@@ -93,8 +91,6 @@
 pub struct CallerLimits {
     /// Largest body.
     pub body_bytes: usize,
-    /// Longest wait for the next request on an open connection.
-    pub idle_timeout_ms: u64,
 }
 
 /// One whole version of the routes.
--- a/src/config/routing/tests.rs
+++ b/src/config/routing/tests.rs
@@ -28,10 +28,7 @@
         hosts: IndexMap::from([("example.test".to_owned(), routes.collect())]),
         services: IndexMap::new(),
         keys: None,
-        limits: CallerLimits {
-            body_bytes: 1,
-            idle_timeout_ms: 1,
-        },
+        limits: CallerLimits { body_bytes: 1 },
     }
 }
 
--- a/src/decide/fleet_counts.rs
+++ b/src/decide/fleet_counts.rs
@@ -25,6 +25,8 @@
 struct Link {
     scope: Scope,
     counts: Counts,
+    /// Routers that the other end counts for.
+    routers: u32,
 }
 
 /// The counts that came over each link.
@@ -38,8 +40,12 @@
     /// Opens a link; its counts begin at zero.
     pub fn open(&mut self, scope: Scope) -> u64 {
         self.next += 1;
-        let counts = Counts::new();
-        self.links.insert(self.next, Link { scope, counts });
+        let link = Link {
+            scope,
+            counts: Counts::new(),
+            routers: 1,
+        };
+        self.links.insert(self.next, link);
         self.next
     }
 
@@ -59,6 +65,36 @@
         }
     }
 
+    /// Takes up how many routers the other end counts for.
+    pub fn take_routers(&mut self, link: u64, routers: u32) {
+        if let Some(link) = self.links.get_mut(&link) {
+            link.routers = routers.max(1);
+        }
+    }
+
+    /// Routers of this group: this one and those that tell it their counts.
+    pub fn group_routers(&self) -> u32 {
+        let own = self.links.values().filter(|link| link.scope == Scope::Own);
+        1 + own.count() as u32
+    }
+
+    /// All routers, as far as they are known over the links.
+    ///
+    /// ```
+    /// use jujubeusher::decide::fleet_counts::{FleetCounts, Scope};
+    /// let mut fleet = FleetCounts::default();
+    /// fleet.open(Scope::Own);
+    /// let other = fleet.open(Scope::Group);
+    /// fleet.take_routers(other, 5);
+    /// assert_eq!(fleet.routers(), 7);
+    /// ```
+    pub fn routers(&self) -> u32 {
+        let of = |scope| self.links.values().filter(move |link| link.scope == scope);
+        let told = of(Scope::Fleet).map(|link| link.routers).max();
+        let counted = self.group_routers() + of(Scope::Group).map(|link| link.routers).sum::<u32>();
+        counted.max(told.unwrap_or(0))
+    }
+
     /// Forgets a link and what came over it.
     pub fn close(&mut self, link: u64) {
         self.links.shift_remove(&link);
--- a/src/decide/fleet_counts/tests.rs
+++ b/src/decide/fleet_counts/tests.rs
@@ -47,3 +47,18 @@
     assert_eq!(changes(&told, &now), [(2, 5), (4, 4), (3, 0)]);
     assert!(changes(&now, &now).is_empty());
 }
+
+/// Each router spends its part of the fleet's retry budget, so one that counts too few routers
+/// breaks the bound.
+#[test]
+fn routers_subscriber_knows_as_many_as_its_seed() {
+    let mut seed = FleetCounts::default();
+    (0..4).for_each(|_| _ = seed.open(Scope::Own));
+    let other = seed.open(Scope::Group);
+    seed.take_routers(other, 3);
+    assert_eq!((seed.group_routers(), seed.routers()), (5, 8));
+    let mut subscriber = FleetCounts::default();
+    let link = subscriber.open(Scope::Fleet);
+    subscriber.take_routers(link, seed.routers());
+    assert_eq!(subscriber.routers(), 8);
+}
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use hyper::header::HeaderMap;
 use rand::RngExt;
 
 use crate::decide::placement::{Full, Server, place};
@@ -68,9 +67,3 @@
     let order: Vec<ServerId> = servers.into_iter().map(|s| s.id).collect();
     state.fetch_from(prompt.shared_hash, &server.id, &order)
 }
-
-/// The text of a header, empty where it is missing or no text.
-pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default()
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 //! The routers at the seed addresses read the tables. The others read them through one of
 //! these, and by themselves while none of them passes anything on.
 
+mod counts;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -14,10 +15,13 @@
 use rand::seq::SliceRandom;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::decide::fleet_counts::{Counts, Scope, changes};
+use crate::decide::fleet_counts::{Counts, Scope};
 use crate::error::{Error, Result};
 use crate::gateway::mirror::{Mirror, Origin, Update};
-use crate::gateway::relay::wire::{Count, Message};
+use crate::gateway::relay::counts::{
+    COUNTS_PERIOD, CountLink, receive_counts, send_counts, tell_counts,
+};
+use crate::gateway::relay::wire::Message;
 use crate::gateway::state::{RelaySettings, State};
 use crate::gateway::watch::{Position, Row, Rows};
 use crate::http::pool::connect;
@@ -32,9 +36,6 @@
 const SILENCE_MAX: Duration = Duration::from_millis(1_600);
 /// Pause after which the seeds are tried again while this router reads by itself.
 const RETRY: Duration = Duration::from_millis(1_500);
-/// Time between messages with counts. Requests run for about a second, so counts of this age
-/// are off by a few of a hundred.
-const COUNTS_PERIOD: Duration = Duration::from_millis(400);
 /// In place of a table's number in messages that are about none.
 const NO_TABLE: u32 = u32::MAX;
 /// Rows in one message, so that it stays far under the largest frame.
@@ -139,42 +140,6 @@
     }
 }
 
-/// A link over which counts come; they are forgotten with it.
-struct CountLink<'a> {
-    state: &'a State,
-    id: u64,
-}
-
-impl<'a> CountLink<'a> {
-    fn open(state: &'a State, scope: Scope) -> Self {
-        let id = state.fleet_counts.lock().open(scope);
-        Self { state, id }
-    }
-
-    fn take(&self, counts: &[Count]) {
-        let counts = counts.iter().map(|count| (count.server, count.requests));
-        self.state.fleet_counts.lock().take(self.id, counts);
-        self.state.apply_counts();
-    }
-}
-
-impl Drop for CountLink<'_> {
-    fn drop(&mut self) {
-        self.state.fleet_counts.lock().close(self.id);
-        self.state.apply_counts();
-    }
-}
-
-async fn receive_counts(
-    reader: &mut FrameReader,
-    link: &CountLink<'_>,
-) -> std::result::Result<(), LinkError> {
-    loop {
-        let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
-        link.take(&message.counts);
-    }
-}
-
 /// Passes on updates of the tables, and the counts of all routers now and then.
 async fn tell_subscriber(
     state: &State,
@@ -203,50 +168,14 @@
                 for (server, count) in own {
                     *all.entry(server).or_default() += count;
                 }
-                within(SILENCE_MAX, send_counts(writer, &mut told, all)).await
+                let routers = state.fleet_counts.lock().routers();
+                within(SILENCE_MAX, send_counts(writer, &mut told, all, routers)).await
             }
         };
         sent.ok_or(LinkError::Silent)??;
     }
 }
 
-/// Sends the counts that changed; without changes, an empty message that shows life.
-async fn send_counts(
-    writer: &mut FrameWriter,
-    told: &mut Counts,
-    now: Counts,
-) -> std::result::Result<(), LinkError> {
-    let counts = changes(told, &now).into_iter();
-    let counts = counts.map(|(server, requests)| Count { server, requests });
-    let message = Message {
-        table: NO_TABLE,
-        counts: counts.collect(),
-        ..Message::default()
-    };
-    writer.send(&message).await?;
-    *told = now;
-    Ok(())
-}
-
-/// Tells a seed the counts of this router, or of its group, until the link ends.
-async fn tell_counts(
-    state: &State,
-    writer: &mut FrameWriter,
-    is_seed: bool,
-) -> std::result::Result<(), LinkError> {
-    let mut told = Counts::new();
-    loop {
-        let own = state.own_counts();
-        let now = match is_seed {
-            true => state.fleet_counts.lock().group(&own),
-            false => own,
-        };
-        let sent = within(SILENCE_MAX, send_counts(writer, &mut told, now)).await;
-        sent.ok_or(LinkError::Silent)??;
-        smol::Timer::after(COUNTS_PERIOD).await;
-    }
-}
-
 /// Keeps telling another seed the counts of this one's group.
 async fn tell_seed(state: Arc<State>, seed: SocketAddr) {
     loop {
@@ -376,7 +305,7 @@
     loop {
         let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
         if message.table == NO_TABLE {
-            link.take(&message.counts);
+            link.take(&message);
             continue;
         }
         let table = message.table as usize;
--- /dev/null
+++ b/src/gateway/relay/counts.rs
@@ -0,0 +1,98 @@
+//! Requests on each server, told over the links of the relay.
+
+use std::time::Duration;
+
+use crate::decide::fleet_counts::{Counts, Scope, changes};
+use crate::gateway::relay::wire::{Count, Message};
+use crate::gateway::relay::{NO_TABLE, SILENCE_MAX};
+use crate::gateway::state::State;
+use crate::peer::frame::{FrameReader, FrameWriter, LinkError};
+use crate::runtime::within;
+
+/// Time between messages with counts. Requests run for about a second, so counts of this age
+/// are off by a few of a hundred.
+pub(super) const COUNTS_PERIOD: Duration = Duration::from_millis(400);
+
+/// A link over which counts come; they are forgotten with it.
+pub(super) struct CountLink<'a> {
+    state: &'a State,
+    id: u64,
+}
+
+impl<'a> CountLink<'a> {
+    pub(super) fn open(state: &'a State, scope: Scope) -> Self {
+        let id = state.fleet_counts.lock().open(scope);
+        Self { state, id }
+    }
+
+    pub(super) fn take(&self, message: &Message) {
+        if message.routers > 0 {
+            self.state.note_routers(self.id, message.routers);
+        }
+        let counts = message
+            .counts
+            .iter()
+            .map(|count| (count.server, count.requests));
+        self.state.fleet_counts.lock().take(self.id, counts);
+        self.state.apply_counts();
+    }
+}
+
+impl Drop for CountLink<'_> {
+    fn drop(&mut self) {
+        self.state.fleet_counts.lock().close(self.id);
+        self.state.apply_counts();
+    }
+}
+
+pub(super) async fn receive_counts(
+    reader: &mut FrameReader,
+    link: &CountLink<'_>,
+) -> std::result::Result<(), LinkError> {
+    loop {
+        let (message, _) = reader.receive::<Message>(SILENCE_MAX).await?;
+        link.take(&message);
+    }
+}
+
+/// Sends the counts that changed; without changes, an empty message that shows life.
+pub(super) async fn send_counts(
+    writer: &mut FrameWriter,
+    told: &mut Counts,
+    now: Counts,
+    routers: u32,
+) -> std::result::Result<(), LinkError> {
+    let counts = changes(told, &now).into_iter();
+    let counts = counts.map(|(server, requests)| Count { server, requests });
+    let message = Message {
+        table: NO_TABLE,
+        counts: counts.collect(),
+        routers,
+        ..Message::default()
+    };
+    writer.send(&message).await?;
+    *told = now;
+    Ok(())
+}
+
+/// Tells a seed the counts of this router, or of its group, until the link ends.
+pub(super) async fn tell_counts(
+    state: &State,
+    writer: &mut FrameWriter,
+    is_seed: bool,
+) -> std::result::Result<(), LinkError> {
+    let mut told = Counts::new();
+    loop {
+        let own = state.own_counts();
+        let (now, routers) = match is_seed {
+            true => {
+                let fleet = state.fleet_counts.lock();
+                (fleet.group(&own), fleet.group_routers())
+            }
+            false => (own, 1),
+        };
+        let sent = within(SILENCE_MAX, send_counts(writer, &mut told, now, routers)).await;
+        sent.ok_or(LinkError::Silent)??;
+        smol::Timer::after(COUNTS_PERIOD).await;
+    }
+}
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -32,6 +32,9 @@
     /// In the first message: the sender is a seed and tells only its group's counts.
     #[prost(bool, tag = "8")]
     pub is_seed: bool,
+    /// Routers that the counts are of; 0 where the message has none.
+    #[prost(uint32, tag = "9")]
+    pub routers: u32,
 }
 
 /// Requests on one server.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -71,8 +71,8 @@
     let body = read_body(body, limit.max(BODY_UNKNOWN_MAX_BYTES), wait).await?;
     let routing = routing.ok_or(Rejection::NoConfiguration)?;
     let id = head.request_id.clone().ok_or(Rejection::BadRequest)?;
-    let host = place::header_text(&parts.headers, HOST.as_str());
-    let route = routing.route(host, parts.uri.path());
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let route = routing.route(host.unwrap_or_default(), parts.uri.path());
     let route = Arc::clone(route.ok_or(Rejection::UnknownRoute)?);
     let holder = holder(&routing, &route, head.key.as_deref())?;
     let draw = match head.prompt {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
@@ -84,14 +84,14 @@
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
+    routers_known: AtomicU32,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
 }
 
-/// Routers that share the retry budget where their number is not known: the first users have
-/// seven, and more may be added.
-const ROUTERS_ASSUMED: usize = 12;
-
+/// Routers that are assumed before a link has told how many there are; the largest of the
+/// first users' sites has 87.
+const ROUTERS_UNKNOWN: u32 = 100;
 /// Name under which the requests of all other routers are counted.
 const OTHER_ROUTERS: &str = "others";
 /// Idle connections to a server that are kept in any case.
@@ -125,6 +125,7 @@
             retries: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
+            routers_known: AtomicU32::new(0),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
         })
@@ -198,6 +199,23 @@
         registry.address(source)
     }
 
+    /// Notes how many routers the other end of a link counts for.
+    pub fn note_routers(&self, link: u64, routers: u32) {
+        let mut fleet = self.fleet_counts.lock();
+        fleet.take_routers(link, routers);
+        // A cut makes links fewer and routers not; each would spend more than its part.
+        self.routers_known
+            .fetch_max(fleet.routers(), Ordering::Relaxed);
+    }
+
+    /// Routers that share bounds on the whole fleet; while no link tells, the last number.
+    pub fn routers(&self) -> usize {
+        match self.routers_known.load(Ordering::Relaxed) {
+            0 => ROUTERS_UNKNOWN as usize,
+            routers => routers as usize,
+        }
+    }
+
     /// Requests of this router on each server.
     pub fn own_counts(&self) -> Counts {
         let registry = self.registry.lock();
@@ -239,7 +257,7 @@
         let now_ms = self.now_ms();
         let mut retries = self.retries.lock();
         let window = retries.entry(service.clone()).or_default();
-        window.take(now_ms, &self.settings().retries, ROUTERS_ASSUMED)
+        window.take(now_ms, &self.settings().retries, self.routers())
     }
 
     /// State of this process as JSON.
@@ -260,6 +278,7 @@
                     "incarnation": server.incarnation,
                     "is_reachable": self.reach.is_reachable(&server.id),
                     "own_requests": self.load.own(&server.id),
+                    "known_requests": self.load.view(&server.id).known,
                     "load_age_ms": self.load.age_ms(&server.id),
                     "known_for_ms": registry.known_for_ms(&server.id, now_ms),
                 })
@@ -271,6 +290,7 @@
             "is_stopping": self.is_stopping(),
             "uptime_ms": now_ms,
             "requests_in_flight": self.in_flight(),
+            "routers": self.routers(),
             "config_version": routing.as_ref().map(|routing| routing.version),
             "servers": servers,
         })
@@ -283,7 +303,7 @@
         let routing = self.routing();
         let service = routing.as_ref().and_then(|r| r.services.get(service));
         let connections_max = service.map_or(0, |service| service.connections_max as usize);
-        (connections_max / ROUTERS_ASSUMED / 2).max(IDLE_MIN)
+        (connections_max / self.routers() / 2).max(IDLE_MIN)
     }
 
     /// Whether the platform should send callers here.
