--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,8 @@
 //! Passes what one router reads of the platform's tables on to the others.
 //!
 //! The routers at the seed addresses read the tables. The others read them through one of
-//! these, and by themselves while none of them passes anything on.
+//! these, and by themselves while none of them passes anything on. The same links carry the
+//! routers' requests on each server.
 
 mod counts;
 pub mod wire;
@@ -26,8 +27,7 @@
 use crate::gateway::watch::{Position, Row, Rows};
 use crate::http::pool::connect;
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError, Side, handshake};
-use crate::runtime::Shutdown;
-use crate::runtime::within;
+use crate::runtime::{Shutdown, within};
 
 /// Longest wait for a connection to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -114,7 +114,9 @@
         .map_or_else(String::new, |relay| relay.key.clone())
 }
 
-/// Passes updates on to one subscriber until the link ends.
+/// Takes the counts of one subscriber and passes updates on to it, until the link ends. Another
+/// seed is told nothing here, as it reads the tables itself and this one tells it its counts
+/// over a link of its own.
 async fn serve(
     state: &State,
     stream: TcpStream,
