--- a/src/admin.rs
+++ b/src/admin.rs
@@ -11,7 +11,8 @@
 
 use crate::app::App;
 use crate::error::Result;
-use crate::http::server::{Server, ServerLimits};
+use crate::http::limits::ServerLimits;
+use crate::http::server::Server;
 use crate::http::{Body, full_body};
 use crate::ids::RequestId;
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -23,7 +23,8 @@
 use crate::edge::object::HttpObjects;
 use crate::edge::table::{HttpTable, Table};
 use crate::error::Result;
-use crate::http::server::{Server, ServerLimits};
+use crate::http::limits::ServerLimits;
+use crate::http::server::Server;
 use crate::observe::metrics::Exporter;
 use crate::runtime::{Runtime, Shutdown};
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,8 +35,9 @@
 use crate::gateway::relay::Mirrors;
 use crate::gateway::state::{GatewaySettings, State};
 use crate::gateway::watch::{Pace, Source, follow};
+use crate::http::limits::ServerLimits;
 use crate::http::pool::Pool;
-use crate::http::server::{Server, ServerLimits};
+use crate::http::server::Server;
 use crate::runtime::{Runtime, Shutdown};
 
 /// What a gateway meets outside.
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 use smol::net::TcpStream;
 
-use crate::http::server::ServerLimits;
+use crate::http::limits::ServerLimits;
 use crate::http::socket::Socket;
 use crate::http::{Body, BodyError};
 use crate::ids::RequestId;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod first_byte;
 pub mod guard;
 pub mod lazy_timer;
+pub mod limits;
 pub mod pool;
 pub mod raw_events;
 pub mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,35 +17,9 @@
 use crate::error::{Error, Result};
 use crate::http::Body;
 use crate::http::guard::{self, CallerIo, Expiry, Progress, TrackedBody};
+use crate::http::limits::ServerLimits;
 use crate::runtime::{Runtime, Shutdown};
 
-/// Limits of a listener.
-#[derive(Debug, Clone)]
-pub struct ServerLimits {
-    /// Most bytes of a header block.
-    pub header_bytes: usize,
-    /// Most headers.
-    pub headers_max: usize,
-    /// Longest wait for a whole header block after its first byte.
-    pub header_timeout: Duration,
-    /// Longest wait for a request on an open connection, or for a caller to read on.
-    pub idle_timeout: Duration,
-    /// Most open connections; more are refused and closed at once.
-    pub connections_max: usize,
-}
-
-impl Default for ServerLimits {
-    fn default() -> Self {
-        Self {
-            header_bytes: 16 * 1024,
-            headers_max: 64,
-            header_timeout: Duration::from_secs(10),
-            idle_timeout: Duration::from_secs(60),
-            connections_max: 1024,
-        }
-    }
-}
-
 /// Connections that the system queues until they are accepted. The standard library asks for
 /// 128; a burst beyond the queue loses its first packets and waits a second for the next.
 const BACKLOG: i32 = 4096;
