Let an unpaced run of the stand-in engine yield to other tasks

Cause: the stand-ins of a test process share one executor thread. The engine of slow_reader_is_closed generates 400,000 events without a pause, and a pause of zero did not yield, so no other stand-in of the process answered until it was done: over 10 s in a debug build on a starved machine, which is the router's limit for a first answer. Ruled out: the router, whose other tests pass there, and a regression, as the loop is older.

The new test of the stand-in fails before and passes after.

--- a/standins/src/engine/run.rs
+++ b/standins/src/engine/run.rs
@@ -117,9 +117,13 @@
     }
 }
 
+/// Waits, or lets the other tasks of the one executor thread run once.
 pub async fn pause(duration: Duration) {
-    if !duration.is_zero() {
-        smol::Timer::after(duration).await;
+    match duration.is_zero() {
+        true => smol::future::yield_now().await,
+        false => {
+            smol::Timer::after(duration).await;
+        }
     }
 }
 
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -258,3 +258,19 @@
     );
     assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
 }
+
+/// Guards against a long answer without pauses that keeps the other stand-ins of the process
+/// from answering: chats beside it ended 502 after 10 s on a busy machine.
+#[test]
+fn unpaced_run_lets_others_run() {
+    let mut unpaced = options();
+    unpaced.tokens = 300_000;
+    unpaced.first_token = Duration::ZERO;
+    unpaced.next_token = Duration::ZERO;
+    let (long, other) = (bind(unpaced), bind(options()));
+    let _unread = post(&long, "a1", "c", 1, STREAM);
+    wait_until("the long run begins", || !long.runs().is_empty());
+    let answer = rest(post(&other, "a2", "c", 1, STREAM));
+    assert!(answer.contains("[DONE]"), "{answer}");
+    assert!(long.finished().is_empty(), "the other waited for its end");
+}
