--- /dev/null
+++ b/model/src/report.rs
@@ -0,0 +1,234 @@
+//! What a run showed.
+
+use std::fmt::Write as _;
+
+use crate::engine::{Engine, EngineCounts};
+use crate::scenario::{Policy, Scenario};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Its first token came within the goal, counted from the caller's first attempt.
+    InTime,
+    /// Its first token came later.
+    Late,
+    /// It was refused, and again when it came back.
+    Refused,
+}
+
+/// Requests of one kind by outcome.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KindCounts {
+    /// In time.
+    pub in_time: u64,
+    /// Late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+}
+
+impl KindCounts {
+    /// Share of the requests that were served in time.
+    pub fn in_time_share(&self) -> f64 {
+        let all = self.in_time + self.late + self.refused;
+        self.in_time as f64 / all.max(1) as f64
+    }
+
+    /// Share of the requests that were served late.
+    pub fn late_share(&self) -> f64 {
+        let all = self.in_time + self.late + self.refused;
+        self.late as f64 / all.max(1) as f64
+    }
+}
+
+/// Arrivals at the engines within a span of [`SPAN_MS`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Span {
+    arrivals: u64,
+    /// Those at an engine over the platform's bound.
+    over: u64,
+}
+
+/// Length of the spans from which sliding windows are summed.
+const SPAN_MS: u64 = 250;
+/// Length of the windows in which the platform counts arrivals at crowded servers.
+const WINDOW_MS: u64 = 5_000;
+/// The platform's bound on a server's load: a multiple of the mean, and requests beyond it.
+const BOUND_TIMES_MEAN: f64 = 2.0;
+const BOUND_BEYOND: f64 = 3.0;
+
+/// Loads at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sample {
+    /// The moment.
+    pub at_ms: u64,
+    /// Mean load of the engines.
+    pub mean: f64,
+    /// Highest load.
+    pub highest: u32,
+}
+
+/// Outcome of one run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// The policy that was played.
+    pub policy: Policy,
+    /// Names of the kinds and their outcomes.
+    pub kinds: Vec<(&'static str, KindCounts)>,
+    /// Loads through the run.
+    pub samples: Vec<Sample>,
+    /// Sums over the engines.
+    pub engines: EngineCounts,
+    spans: Vec<Span>,
+}
+
+impl Report {
+    /// A report without outcomes.
+    pub fn open(scenario: &Scenario, policy: Policy) -> Self {
+        let kinds = scenario.kinds.iter();
+        Self {
+            policy,
+            kinds: kinds
+                .map(|kind| (kind.name, KindCounts::default()))
+                .collect(),
+            samples: Vec::new(),
+            engines: EngineCounts::default(),
+            spans: vec![Span::default(); (scenario.length_ms / SPAN_MS) as usize + 1],
+        }
+    }
+
+    /// Notes how a request of a kind ended.
+    pub fn outcome(&mut self, kind: usize, outcome: Outcome) {
+        let counts = &mut self.kinds[kind].1;
+        match outcome {
+            Outcome::InTime => counts.in_time += 1,
+            Outcome::Late => counts.late += 1,
+            Outcome::Refused => counts.refused += 1,
+        }
+    }
+
+    /// Notes that a request arrived at an engine.
+    pub fn note_arrival(&mut self, engines: &[Engine], server: usize, now_ms: u64) {
+        let total: u32 = engines.iter().map(Engine::held).sum();
+        let mean = f64::from(total) / engines.len() as f64;
+        let bound = BOUND_TIMES_MEAN * mean + BOUND_BEYOND;
+        let span = &mut self.spans[(now_ms / SPAN_MS) as usize];
+        span.arrivals += 1;
+        span.over += u64::from(f64::from(engines[server].held()) > bound);
+    }
+
+    /// Takes a sample of the loads.
+    pub fn sample(&mut self, engines: &[Engine], at_ms: u64) {
+        let loads = engines.iter().map(Engine::held);
+        let total: u32 = loads.clone().sum();
+        self.samples.push(Sample {
+            at_ms,
+            mean: f64::from(total) / engines.len() as f64,
+            highest: loads.max().unwrap_or(0),
+        });
+    }
+
+    /// Adds up an engine's counters.
+    pub fn engine(&mut self, counts: EngineCounts) {
+        self.engines.reread_tokens += counts.reread_tokens;
+        self.engines.preempted += counts.preempted;
+    }
+
+    /// Highest share, over all windows, of the arrivals at engines over the platform's bound.
+    pub fn crowded_share(&self) -> f64 {
+        let length = (WINDOW_MS / SPAN_MS) as usize;
+        let shares = self.spans.windows(length).map(|window| {
+            let arrivals: u64 = window.iter().map(|span| span.arrivals).sum();
+            let over: u64 = window.iter().map(|span| span.over).sum();
+            over as f64 / arrivals.max(1) as f64
+        });
+        shares.fold(0.0, f64::max)
+    }
+
+    /// Requests of all kinds.
+    pub fn total(&self) -> KindCounts {
+        let mut total = KindCounts::default();
+        for (_, counts) in &self.kinds {
+            total.in_time += counts.in_time;
+            total.late += counts.late;
+            total.refused += counts.refused;
+        }
+        total
+    }
+
+    /// Least of the kinds' shares in time.
+    pub fn worst_kind_share(&self) -> f64 {
+        let shares = self.kinds.iter().map(|(_, counts)| counts.in_time_share());
+        shares.fold(1.0, f64::min)
+    }
+
+    /// Highest load over the mean, where the mean is 1 or more.
+    pub fn highest_over_mean(&self) -> f64 {
+        let samples = self.samples.iter().filter(|sample| sample.mean >= 1.0);
+        let ratios = samples.map(|sample| f64::from(sample.highest) / sample.mean);
+        ratios.fold(0.0, f64::max)
+    }
+
+    /// One line of a table.
+    pub fn row(&self) -> String {
+        let total = self.total();
+        format!(
+            "{:<12} {:>8} {:>8} {:>8} {:>8.3} {:>8.3} {:>8.3} {:>8.2} {:>12} {:>9}",
+            self.policy.name(),
+            total.in_time,
+            total.late,
+            total.refused,
+            total.in_time_share(),
+            self.worst_kind_share(),
+            self.crowded_share(),
+            self.highest_over_mean(),
+            self.engines.reread_tokens,
+            self.engines.preempted,
+        )
+    }
+}
+
+/// Header of the table.
+pub fn header() -> String {
+    format!(
+        "{:<12} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>12} {:>9}",
+        "policy",
+        "in_time",
+        "late",
+        "refused",
+        "share",
+        "worst",
+        "crowded",
+        "max/mean",
+        "reread",
+        "preempted"
+    )
+}
+
+const PLOT_WIDTH: f64 = 900.0;
+const PLOT_HEIGHT: f64 = 300.0;
+
+/// Mean and highest loads over time as an SVG image.
+pub fn plot(report: &Report) -> String {
+    let end_ms = report.samples.last().map_or(1, |sample| sample.at_ms.max(1));
+    let top = report.samples.iter().map(|sample| sample.highest).max();
+    let top = f64::from(top.unwrap_or(1).max(1));
+    let line = |color: &str, value: &dyn Fn(&Sample) -> f64| {
+        let points = report.samples.iter().fold(String::new(), |mut text, s| {
+            let x = s.at_ms as f64 / end_ms as f64 * PLOT_WIDTH;
+            let y = PLOT_HEIGHT - value(s) / top * PLOT_HEIGHT;
+            let _ = write!(text, "{x:.1},{y:.1} ");
+            text
+        });
+        format!("<polyline fill=\"none\" stroke=\"{color}\" points=\"{points}\"/>\n")
+    };
+    let mean = line("steelblue", &|sample| sample.mean);
+    let highest = line("firebrick", &|sample| f64::from(sample.highest));
+    format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 -20 {PLOT_WIDTH} {}\">\n\
+         <text x=\"0\" y=\"-6\" font-size=\"12\">{}: requests at an engine, mean (blue) and \
+         highest (red, up to {top}), over {end_ms} ms</text>\n{mean}{highest}</svg>\n",
+        PLOT_HEIGHT + 20.0,
+        report.policy.name(),
+    )
+}
