Learn from a server that declines a request that it is full

Cause: an answer that declines a request was checked, and dropped, before its load was noted, and a server that declines was asked again by the next request.

The load is noted first, unless another server has the address, and a server that declines comes last for 100 ms, as one that takes no connection. A server that told nothing is full only by the known requests: else one full server would make all others look full.

The new test of the whole path fails before and passes after.

--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -65,8 +65,16 @@
         slots: server.slots.max(1),
         load: load(server),
     });
-    let has_room = |c: &Candidate<'_>| c.load < FULL_PER_SLOT * f64::from(c.slots);
-    let open: Vec<Candidate<'_>> = candidates.filter(has_room).collect();
+    let has_room = |(candidate, server): &(Candidate<'_>, &Server)| {
+        // The load of those that told theirs says nothing of a server that told none.
+        let load = match server.view.held {
+            Some(_) => candidate.load,
+            None => f64::from(server.view.known),
+        };
+        load < FULL_PER_SLOT * f64::from(candidate.slots)
+    };
+    let open = candidates.zip(servers).filter(has_room);
+    let open: Vec<Candidate<'_>> = open.map(|(candidate, _)| candidate).collect();
     if open.is_empty() && !servers.is_empty() {
         return Err(Full);
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -229,8 +229,9 @@
     heard.note(state.now_ms());
     let (head, body) = response.into_parts();
     let told = state.backends.decode(&ask.id, head.status, &head.headers);
-    check(&told, &head.headers)?;
+    // A server that declines a request tells its load too.
     note_load(state, server, &told);
+    check(&told, &head.headers)?;
     let is_event_stream = ask.route.is_stream && head.status.is_success();
     let content = match is_event_stream {
         true => {
@@ -326,7 +327,7 @@
 }
 
 fn note_load(state: &State, server: &Registration, told: &AnswerHead) {
-    let Some(load) = told.load else {
+    let Some(load) = told.load.filter(|_| !told.is_misdirected) else {
         return;
     };
     let report = Report {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -272,10 +272,10 @@
         FailureKind::Broken | FailureKind::Foreign => {
             state.reach.outcome(&server.id, true, now_ms);
         }
-        FailureKind::Crowded => state.reach.crowded(&server.id, now_ms),
+        FailureKind::Crowded | FailureKind::NotRun => state.reach.crowded(&server.id, now_ms),
         FailureKind::Misdirected => state.misdirected(&server.id),
         // The look that found it noted it.
-        FailureKind::Silent | FailureKind::NotRun => {}
+        FailureKind::Silent => {}
     }
 }
 
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -23,6 +23,8 @@
 pub enum Fault {
     /// The server states that it did not run the request.
     NotRun,
+    /// As before, and the server tells that all of its places are taken.
+    Full,
     /// The request runs, then the connection closes without an answer.
     AnswerLost,
     /// The request runs and fails.
@@ -61,6 +63,7 @@
 struct State {
     runs: Vec<Run>,
     faults: VecDeque<Fault>,
+    declined: usize,
 }
 
 /// A running server.
@@ -70,6 +73,9 @@
     state: Arc<Mutex<State>>,
 }
 
+/// Load of a server that has no place: running, waiting, places.
+const FULL_LOAD: &str = "16,48,16";
+
 /// Events of each stream.
 pub const EVENTS: u64 = 5;
 
@@ -95,6 +101,11 @@
         self.state.lock().runs.clone()
     }
 
+    /// Requests that it declined to run.
+    pub fn declined(&self) -> usize {
+        self.state.lock().declined
+    }
+
     /// Gives the next request this fault; faults queue up.
     pub fn fail_next(&self, fault: Fault) {
         self.state.lock().faults.push_back(fault);
@@ -119,8 +130,13 @@
         );
     }
     let fault = state.lock().faults.pop_front();
-    if fault == Some(Fault::NotRun) {
-        return named(plain(StatusCode::SERVICE_UNAVAILABLE, ""), "x-not-run", "1");
+    if matches!(fault, Some(Fault::NotRun | Fault::Full)) {
+        state.lock().declined += 1;
+        let declined = named(plain(StatusCode::SERVICE_UNAVAILABLE, ""), "x-not-run", "1");
+        return match fault {
+            Some(Fault::Full) => named(declined, "x-server-load", FULL_LOAD),
+            _ => declined,
+        };
     }
     let is_stream = parts.uri.path().contains("/stream");
     let after = parts
