Tell a request's story from the logs of several routers

ctl explain reads logs from files or standard input, merges them by time, keeps the lines of the request and those of its servers and router around it, and names the cause.

--- a/src/cli/ctl.rs
+++ b/src/cli/ctl.rs
@@ -1,5 +1,7 @@
 //! Command line of `jujubeusher-ctl`.
 
+use std::fs::File;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -21,6 +23,7 @@
 use crate::filter::identify::key_sha256;
 use crate::http::client::Client;
 use crate::ids::ConfigVersion;
+use crate::observe::story::{self, Line};
 use crate::peer;
 
 /// Longest wait for one answer of the platform or a router.
@@ -120,8 +123,11 @@
     #[bpaf(command)]
     Explain {
         /// Admin address of a router; repeat it to ask several.
-        #[bpaf(long, argument("IP:PORT"), some("name at least one router"))]
+        #[bpaf(long, argument("IP:PORT"))]
         admin: Vec<SocketAddr>,
+        /// Log of a router, or - for standard input; repeat it to merge several.
+        #[bpaf(long, argument("FILE"))]
+        log: Vec<PathBuf>,
         /// Request id, from the answer's x-request-id header.
         #[bpaf(positional("REQUEST_ID"))]
         request: String,
@@ -159,7 +165,14 @@
         Options::Rollback { change, to } => smol::block_on(rollback(&change, to)),
         Options::Drain { change, server } => smol::block_on(drain(&change, &server)),
         Options::Dump { admin } => smol::block_on(dump(admin)),
-        Options::Explain { admin, request } => smol::block_on(explain(&admin, &request)),
+        Options::Explain {
+            admin,
+            log,
+            request,
+        } => match log.is_empty() {
+            true => smol::block_on(explain(&admin, &request)),
+            false => explain_logs(&log, &request),
+        },
         Options::Replay { trace } => replay(&trace),
         Options::Digest { key } => {
             println!("{}", key_sha256(&key));
@@ -312,6 +325,12 @@
 }
 
 async fn explain(admins: &[SocketAddr], request: &str) -> Result<ExitCode> {
+    if admins.is_empty() {
+        return Err(Error::command(
+            "neither a router nor a log is named",
+            "name routers with --admin or their logs with --log",
+        ));
+    }
     for admin in admins {
         if let Ok((200, text)) = fetch(*admin, &format!("/explain/{request}")).await {
             println!("{}", pretty(&text));
@@ -324,6 +343,44 @@
     ))
 }
 
+fn explain_logs(paths: &[PathBuf], request: &str) -> Result<ExitCode> {
+    let mut lines = Vec::new();
+    for path in paths {
+        lines.extend(read_log(path, request)?);
+    }
+    match story::tell(request, &lines) {
+        Some(text) => {
+            print!("{text}");
+            Ok(ExitCode::SUCCESS)
+        }
+        None => Err(Error::command(
+            format!("no line of these logs is about request {request}"),
+            "name the logs of all routers; a caller's retry has an id of its own",
+        )),
+    }
+}
+
+/// The lines of a log that may belong to the story of a request; lines about others are many
+/// and are not kept.
+fn read_log(path: &Path, request: &str) -> Result<Vec<Line>> {
+    let failed = |source| Error::io(format!("read {}", path.display()), source);
+    let (router, input): (_, Box<dyn BufRead>) = match path.to_str() {
+        Some("-") => ("-".into(), Box::new(std::io::stdin().lock())),
+        _ => {
+            let name = path.file_stem().unwrap_or_default();
+            let file = File::open(path).map_err(failed)?;
+            (name.to_string_lossy(), Box::new(BufReader::new(file)))
+        }
+    };
+    let mut kept = Vec::new();
+    for text in input.split(b'\n') {
+        let text = text.map_err(failed)?;
+        let line = Line::parse(&router, &String::from_utf8_lossy(&text));
+        kept.extend(line.filter(|line| line.field("id").is_none_or(|id| id == request)));
+    }
+    Ok(kept)
+}
+
 fn pretty(text: &str) -> String {
     serde_json::from_str::<serde_json::Value>(text)
         .and_then(|value| serde_json::to_string_pretty(&value))
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -5,3 +5,4 @@
 pub mod metrics;
 pub mod recorder;
 pub mod ring;
+pub mod story;
--- /dev/null
+++ b/src/observe/story/tests.rs
@@ -0,0 +1,71 @@
+use expect_test::expect;
+
+use super::*;
+
+fn lines(router: &str, text: &str) -> Vec<Line> {
+    let lines = text.lines().filter_map(|line| Line::parse(router, line));
+    lines.collect()
+}
+
+const FIRST: &str = "\
+time_ms=900 level=warn event=server_unreachable server=a
+time_ms=950 level=warn event=server_unreachable server=other
+time_ms=1000 level=info event=attempt_failed id=x server=a kind=silent reason=\"it is silent\" ms=9
+time_ms=1001 level=info event=answered id=y route=r service=s server=a status=200 sends=1 ms=4
+time_ms=1005 level=info event=rejected id=x status=504 code=timed_out after_ms=14 retry_after_ms=0
+time_ms=90000 level=info event=routes version=3
+";
+
+/// Lines of other requests, other servers and much later would hide the cause.
+#[test]
+fn tell_only_what_belongs_to_the_request() {
+    let told = tell("x", &lines("r1", FIRST)).unwrap();
+    expect![[r#"
+        request x: refused with 504 timed_out by r1 after 14 ms
+        cause: its time was over before a server had answered; a failed: it is silent; server unreachable: a
+             -100 ms r1 server_unreachable server=a
+        *      +0 ms r1 attempt_failed server=a kind=silent reason="it is silent" ms=9
+        *      +5 ms r1 rejected status=504 code=timed_out after_ms=14 retry_after_ms=0
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn tell_merges_routers_by_time() {
+    let second = "time_ms=1002 level=info event=retry id=x server=b status=500\n";
+    let mut both = lines("r1", FIRST);
+    both.extend(lines("r2", second));
+    let told = tell("x", &both).unwrap();
+    let routers: Vec<&str> = told
+        .lines()
+        .skip(3)
+        .filter_map(|l| l.split(' ').rev().nth(3))
+        .collect();
+    assert_eq!(routers.len(), 3);
+    assert!(told.contains("+2 ms r2 retry"), "{told}");
+}
+
+#[test]
+fn tell_unknown_request_is_none() {
+    assert_eq!(tell("z", &lines("r1", FIRST)), None);
+}
+
+#[test]
+fn parse_lines_of_a_collector() {
+    let line = Line::parse(
+        "r",
+        "2026-01-01 host time_ms=7 event=retry id=x reason=\"a b\" ms=1",
+    );
+    let line = line.unwrap();
+    assert_eq!((line.time_ms, line.field("reason")), (7, Some("a b")));
+    assert_eq!(line.field("ms"), Some("1"));
+    for broken in [
+        "",
+        "time_ms=",
+        "time_ms=x event=a",
+        "time_ms=5 reason=\"open",
+    ] {
+        let parsed = Line::parse("r", broken);
+        assert!(parsed.is_none_or(|line| line.time_ms == 5), "{broken}");
+    }
+}
