Follow the configuration's times for idle connections and header blocks

Idle connections were kept for 90 s and a header block was waited for 10 s, whatever the configuration said (15 s and 3 s on the first sites). Both limits now change with the configuration in force, also for open connections; idle ones get 5 s more, so that a request within the limit meets no close.

--- a/src/config/routing/tests.rs
+++ b/src/config/routing/tests.rs
@@ -28,7 +28,11 @@
         hosts: IndexMap::from([("example.test".to_owned(), routes.collect())]),
         services: IndexMap::new(),
         keys: None,
-        limits: CallerLimits { body_bytes: 1 },
+        limits: CallerLimits {
+            body_bytes: 1,
+            idle_ms: 1,
+            header_ms: 1,
+        },
     }
 }
 
--- a/src/gateway/followers.rs
+++ b/src/gateway/followers.rs
@@ -34,6 +34,7 @@
             table.hosts.len(),
             table.keys.as_ref().map_or(0, IndexMap::len),
         );
+        self.state.caller_times.apply(&table.limits);
         *routing = Some(Arc::new(table));
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -237,14 +237,11 @@
     )
 }
 
-/// Callers may reuse connections for as long as the configuration allows; this is longer than
-/// any limit that it states.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
-
 fn bind_callers(state: &Arc<State>) -> Result<Server> {
     let limits = ServerLimits {
         connections_max: state.settings().connections_max,
-        idle_timeout: IDLE_TIMEOUT,
+        idle_timeout: state.caller_times.idle.clone(),
+        header_timeout: state.caller_times.header.clone(),
         ..ServerLimits::default()
     };
     let shared = Arc::clone(state);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
-use crate::config::routing::RoutingTable;
+use crate::config::routing::{CallerLimits, RoutingTable};
 use crate::control::load::LoadTable;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::prompt_homes::{PromptHomes, source};
@@ -20,6 +21,7 @@
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reach::Reach;
 use crate::gateway::relay::pack::Packer;
+use crate::http::limits::TimeLimit;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
 use crate::observe::gateway_metrics::GatewayMetrics;
@@ -62,6 +64,38 @@
     pub key: String,
 }
 
+/// Times that callers may take, as the configuration in force states them.
+#[derive(Debug, Clone)]
+pub struct CallerTimes {
+    /// For which a connection may lie idle.
+    pub idle: TimeLimit,
+    /// For a whole header block.
+    pub header: TimeLimit,
+}
+
+/// Time beyond the stated limit for which an idle connection is kept: a request that a caller
+/// sends within the limit must not meet a close, nor one that still goes by an older version.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+
+impl Default for CallerTimes {
+    fn default() -> Self {
+        // Until a configuration states them.
+        Self {
+            idle: Duration::from_secs(90).into(),
+            header: Duration::from_secs(10).into(),
+        }
+    }
+}
+
+impl CallerTimes {
+    /// Puts the limits of a configuration into force.
+    pub fn apply(&self, limits: &CallerLimits) {
+        self.idle
+            .set(Duration::from_millis(limits.idle_ms) + IDLE_MARGIN);
+        self.header.set(Duration::from_millis(limits.header_ms));
+    }
+}
+
 /// State that all requests share.
 pub struct State {
     settings: RwLock<Arc<GatewaySettings>>,
@@ -75,6 +109,8 @@
     pub load: LoadTable,
     /// Requests in flight by their shared prompt parts.
     pub prompts: PromptFlight,
+    /// Times that callers may take.
+    pub caller_times: CallerTimes,
     /// Instruments.
     pub metrics: GatewayMetrics,
     /// Which servers can be reached and serve.
@@ -121,6 +157,7 @@
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::open(Arc::clone(&clock)),
+            caller_times: CallerTimes::default(),
             prompts: PromptFlight::default(),
             clock,
             pool,
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -103,11 +103,11 @@
     fn deadline(&self, limits: &ServerLimits) -> Option<(Instant, Expiry)> {
         let state = self.state.lock();
         match state.phase {
-            Phase::Idle => Some((state.since + limits.idle_timeout, Expiry::Idle)),
-            Phase::Head => Some((state.since + limits.header_timeout, Expiry::SlowHead)),
+            Phase::Idle => Some((state.since + limits.idle_timeout.get(), Expiry::Idle)),
+            Phase::Head => Some((state.since + limits.header_timeout.get(), Expiry::SlowHead)),
             Phase::Answering | Phase::Draining => state
                 .blocked_since
-                .map(|since| (since + limits.idle_timeout, Expiry::SlowReader)),
+                .map(|since| (since + limits.idle_timeout.get(), Expiry::SlowReader)),
         }
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -302,8 +302,8 @@
     let server_limits = ServerLimits {
         header_bytes: limits.header_bytes,
         headers_max: limits.headers_max,
-        header_timeout: Duration::from_millis(limits.header_timeout_ms),
-        idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        header_timeout: Duration::from_millis(limits.header_timeout_ms).into(),
+        idle_timeout: Duration::from_millis(limits.idle_timeout_ms).into(),
         connections_max: limits.connections_max,
     };
     let state = Arc::clone(app);
