Bound the log lines of each event in a second

A flood of one event could fill the log's queue and push out the lines that explain it. Lines of the log about itself have a time as all others. The test of the queue floods one event beside another.

--- a/src/observe/logging.rs
+++ b/src/observe/logging.rs
@@ -1,6 +1,7 @@
 //! Log set-up: one line of key=value pairs for each event.
 
 mod queue;
+pub mod rate;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -16,6 +17,12 @@
         .level_for("hyper", LevelFilter::Warn)
 }
 
+/// The host's wall clock.
+fn wall_ms() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis())
+}
+
 /// Sends log lines of at least `level` to standard error.
 pub fn open(level: LevelFilter) -> Result<()> {
     dispatch(level)
@@ -32,16 +39,16 @@
 }
 
 /// Sends log lines of at least `level` to standard output through a bounded queue, so that a
-/// reader which stops reading holds up nothing. Lines beyond the queue are dropped and counted.
-pub fn open_queued(level: LevelFilter) -> Result<LogQueue> {
-    let queue = LogQueue::spawn(std::io::stdout())
+/// reader which stops reading holds up nothing. Lines beyond the queue, and
+/// beyond `lines_max` of an event in a second, are left out and counted.
+pub fn open_queued(level: LevelFilter, lines_max: u32) -> Result<LogQueue> {
+    let queue = LogQueue::spawn(std::io::stdout(), lines_max)
         .map_err(|source| Error::io("start the log thread", source))?;
     dispatch(level)
         .format(|out, message, record| {
-            let now = SystemTime::now().duration_since(UNIX_EPOCH);
             out.finish(format_args!(
                 "time_ms={} level={} {message}",
-                now.map_or(0, |now| now.as_millis()),
+                wall_ms(),
                 record.level().as_str().to_ascii_lowercase(),
             ));
         })
--- a/src/observe/logging/queue.rs
+++ b/src/observe/logging/queue.rs
@@ -10,23 +10,28 @@
 
 use parking_lot::{Condvar, Mutex};
 
+use crate::observe::logging::rate::{RateBound, Verdict, event_of};
+use crate::observe::logging::wall_ms;
+
 /// Bytes that may wait: over a thousand lines of the usual length.
 const WAITING_MAX_BYTES: usize = 256 * 1024;
 /// Time for which lines collect before they are written together, as each write is a system
 /// call.
 const COLLECT: Duration = Duration::from_millis(50);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     waiting: Vec<u8>,
     dropped_lines: u64,
     is_writing: bool,
+    rate: RateBound,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
     changed: Condvar,
+    opened: Instant,
 }
 
 /// Handle on the queue. Clones share it.
@@ -36,12 +41,21 @@
 }
 
 impl LogQueue {
-    /// Starts the thread that writes to `output`.
-    pub fn spawn<W>(output: W) -> io::Result<Self>
+    /// Starts the thread that writes to `output` at most `lines_max` lines a second of each event.
+    pub fn spawn<W>(output: W, lines_max: u32) -> io::Result<Self>
     where
         W: Write + Send + 'static,
     {
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State {
+                waiting: Vec::new(),
+                dropped_lines: 0,
+                is_writing: false,
+                rate: RateBound::new(lines_max),
+            }),
+            changed: Condvar::new(),
+            opened: Instant::now(),
+        });
         let drained = Arc::clone(&shared);
         thread::Builder::new()
             .name("log".to_owned())
@@ -84,7 +98,21 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
+        let now_ms = self.shared.opened.elapsed().as_millis() as u64;
         let mut state = self.shared.state.lock();
+        let line = String::from_utf8_lossy(&self.line);
+        let event = event_of(&line);
+        match state.rate.line(event, now_ms) {
+            Verdict::Written => {}
+            Verdict::LeftOut => {
+                self.line.clear();
+                return Ok(());
+            }
+            Verdict::WrittenAfter(lines) => {
+                let note = note_line("log_limited", &format!("of={event} lines={lines}"));
+                state.waiting.extend_from_slice(note.as_bytes());
+            }
+        }
         match state.waiting.len() + self.line.len() <= WAITING_MAX_BYTES {
             true => state.waiting.append(&mut self.line),
             false => {
@@ -97,6 +125,11 @@
     }
 }
 
+/// A line of the log about itself.
+fn note_line(event: &str, rest: &str) -> String {
+    format!("time_ms={} level=warn event={event} {rest}\n", wall_ms())
+}
+
 fn drain<W>(shared: &Shared, mut output: W)
 where
     W: Write,
@@ -116,7 +149,7 @@
             (lines, std::mem::take(&mut state.dropped_lines))
         };
         if dropped_lines > 0 {
-            let note = format!("level=warn event=log_dropped lines={dropped_lines}\n");
+            let note = note_line("log_dropped", &format!("lines={dropped_lines}"));
             lines.extend_from_slice(note.as_bytes());
         }
         // There is no place left to report a failure of the log itself.
--- a/src/observe/logging/queue/tests.rs
+++ b/src/observe/logging/queue/tests.rs
@@ -41,7 +41,7 @@
 #[test]
 fn flush_reader_that_stops_reading_holds_up_nothing_and_lines_are_counted() {
     let output = Blocked::default();
-    let queue = LogQueue::spawn(output.clone()).unwrap();
+    let queue = LogQueue::spawn(output.clone(), u32::MAX).unwrap();
     let mut writer = queue.writer();
     let lines = 20_000;
     let start = Instant::now();
@@ -72,7 +72,7 @@
 fn flush_lines_come_out_in_order() {
     let output = Blocked::default();
     output.release();
-    let queue = LogQueue::spawn(output.clone()).unwrap();
+    let queue = LogQueue::spawn(output.clone(), u32::MAX).unwrap();
     let mut writer = queue.writer();
     for number in 0..3 {
         writeln!(writer, "{number}").unwrap();
@@ -81,3 +81,23 @@
     assert!(queue.flush(LIMIT));
     assert_eq!(output.text(), "0\n1\n2\n");
 }
+
+#[test]
+fn writer_bounds_the_lines_of_an_event() {
+    let output = Blocked::default();
+    output.release();
+    let queue = LogQueue::spawn(output.clone(), 3).unwrap();
+    let mut writer = queue.writer();
+    for number in 0..20 {
+        writeln!(writer, "event=rejected number={number}").unwrap();
+        writer.flush().unwrap();
+    }
+    writeln!(writer, "event=server_left").unwrap();
+    writer.flush().unwrap();
+    assert!(queue.flush(LIMIT));
+    let text = output.text();
+    // The test may cross the end of a second once.
+    let rejected = text.matches("event=rejected").count();
+    assert!((3..=6).contains(&rejected), "{text}");
+    assert!(text.contains("event=server_left"), "{text}");
+}
