Open the circle between the peers' node and its links

The node held the listener's and the timer's tasks and dialed links itself, and links call the node back. Dials go through a queue now: the node asks for them, and peer/driver.rs, on top of both, runs the listener, the timer and the dials. Behaviour unchanged; the tests of peers, membership, strikes and changes of configuration pass.

--- /dev/null
+++ b/src/peer/driver.rs
@@ -0,0 +1,76 @@
+//! Runs the peer protocol of a process: its listener, its timer and the dials that it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use rand::RngExt;
+
+use crate::config::settings::Peers;
+use crate::error::Result;
+use crate::peer::node::PeerNode;
+use crate::peer::{advertised, link};
+use crate::runtime::Runtime;
+
+/// Time between looks at members and links.
+const TICK: Duration = Duration::from_millis(200);
+/// Time between dials of one seed and one dead router, so that partitions heal.
+const HEAL_MS: u64 = 2_000;
+
+/// Opens the listener and starts the tasks.
+pub fn start(node: &Arc<PeerNode>, runtime: &Runtime, peers: &Peers) -> Result<()> {
+    let (listener, bound) = link::listen(peers.listen)?;
+    node.bound(bound, advertised(peers, bound));
+    runtime.detach(accept_loop(runtime.clone(), Arc::clone(node), listener));
+    runtime.detach(dial_loop(runtime.clone(), Arc::clone(node)));
+    runtime.detach(tick_loop(Arc::clone(node), peers.seeds.clone()));
+    Ok(())
+}
+
+async fn accept_loop(runtime: Runtime, node: Arc<PeerNode>, listener: smol::net::TcpListener) {
+    loop {
+        let accept = async { Some(listener.accept().await) };
+        let stopped = async {
+            node.stopped().await;
+            None
+        };
+        match accept.or(stopped).await {
+            None => return,
+            Some(Ok((stream, _))) => runtime.detach(link::accept(Arc::clone(&node), stream)),
+            Some(Err(error)) => {
+                log::warn!("event=peer_accept_failed error=\"{error}\"");
+                smol::Timer::after(TICK).await;
+            }
+        }
+    }
+}
+
+async fn dial_loop(runtime: Runtime, node: Arc<PeerNode>) {
+    loop {
+        let stopped = async {
+            node.stopped().await;
+            None
+        };
+        let Some(dial) = node.next_dial().or(stopped).await else {
+            return;
+        };
+        runtime.detach(link::dial(Arc::clone(&node), dial.name, dial.address));
+    }
+}
+
+async fn tick_loop(node: Arc<PeerNode>, seeds: Vec<SocketAddr>) {
+    let mut heal_ms = 0;
+    while !node.is_stopping() {
+        node.tick();
+        if node.now_ms() >= heal_ms {
+            node.heal(&seeds);
+            let jitter_ms = rand::rng().random_range(0..HEAL_MS / 2);
+            heal_ms = node.now_ms() + HEAL_MS / 2 + jitter_ms;
+        }
+        let pause = async {
+            smol::Timer::after(TICK).await;
+        };
+        pause.or(node.stopped()).await;
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! The peer protocol: what routers tell each other, over an overlay of fixed degree.
 
 pub mod core;
+mod driver;
 pub mod frame;
 mod link;
 mod node;
@@ -71,9 +72,9 @@
         clock: &Arc<dyn Clock>,
         stop: &Shutdown,
     ) -> Result<Self> {
-        let node = PeerNode::open(settings, runtime, clock, stop);
+        let node = PeerNode::open(settings, clock, stop);
         if let Some(peers) = &settings.peers {
-            node.start(peers)?;
+            driver::start(&node, runtime, peers)?;
         }
         Ok(Self { node })
     }
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -1,5 +1,4 @@
-//! The running peer protocol of a process: the state behind one lock, its listener and its
-//! timer.
+//! The peer protocol's state of a process, behind one lock. [`crate::peer::driver`] runs it.
 
 mod config;
 mod upkeep;
@@ -15,16 +14,15 @@
 use rand::RngExt;
 use serde_json::{Value, json};
 
-use crate::config::settings::{Peers, RouterSettings};
+use crate::config::settings::RouterSettings;
 use crate::edge::clock::Clock;
-use crate::error::Result;
 use crate::ids::{ConfigVersion, RouterId, ServerId};
 use crate::peer::core::{Core, Delivery};
 use crate::peer::frame::{LinkError, Side};
 use crate::peer::outbox::Outbox;
 use crate::peer::row::{Delta, Scope, ServerRow, UseRow, server_number};
-use crate::peer::{ConfigMessage, RouterView, advertised, link, wire};
-use crate::runtime::{Runtime, Shutdown};
+use crate::peer::{ConfigMessage, RouterView, wire};
+use crate::runtime::Shutdown;
 
 /// Rows that a subscriber may leave unread.
 const SUBSCRIBER_ROWS: usize = 8_192;
@@ -48,14 +46,23 @@
 
 type Subscribers<T> = Mutex<Vec<Sender<(RouterId, T)>>>;
 
+/// A link that is wanted.
+#[derive(Debug)]
+pub struct Dial {
+    /// The router's name, where it is known.
+    pub name: Option<String>,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// The peer protocol of a process.
 pub struct PeerNode {
     /// Counts for the dump and for measurements.
     pub counters: Counters,
     core: Mutex<Core>,
     clock: Arc<dyn Clock>,
-    runtime: Runtime,
     stop: Shutdown,
+    dials: (Sender<Dial>, Receiver<Dial>),
     shared_key: String,
     source: IpAddr,
     address: RwLock<Option<SocketAddr>>,
@@ -83,20 +90,16 @@
 
 impl PeerNode {
     /// A node without links.
-    pub fn open(
-        settings: &RouterSettings,
-        runtime: &Runtime,
-        clock: &Arc<dyn Clock>,
-        stop: &Shutdown,
-    ) -> Arc<Self> {
+    pub fn open(settings: &RouterSettings, clock: &Arc<dyn Clock>, stop: &Shutdown) -> Arc<Self> {
         let peers = settings.peers.as_ref();
         let core = Core::open(introduce(settings, &**clock), peers.map_or(0, |p| p.degree));
         let node = Arc::new(Self {
             counters: Counters::default(),
             core: Mutex::new(core),
             clock: Arc::clone(clock),
-            runtime: runtime.clone(),
             stop: stop.clone(),
+            // The core asks for one dial of a router at a time, which bounds the queue.
+            dials: async_channel::unbounded(),
             shared_key: peers.map_or_else(String::new, |p| p.shared_key.clone()),
             source: peers.map_or(Ipv4Addr::UNSPECIFIED.into(), |p| p.listen.ip()),
             address: RwLock::new(None),
@@ -111,19 +114,24 @@
         node
     }
 
-    /// Opens the listener and starts the timer.
-    pub fn start(self: &Arc<Self>, peers: &Peers) -> Result<()> {
-        let (listener, bound) = link::listen(peers.listen)?;
-        *self.address.write() = Some(bound);
-        self.core.lock().own.address = advertised(peers, bound).to_string();
-        self.runtime
-            .detach(upkeep::accept_loop(Arc::clone(self), listener));
-        self.runtime
-            .detach(upkeep::tick_loop(Arc::clone(self), peers.seeds.clone()));
-        Ok(())
+    /// Notes where peers reach this process.
+    pub fn bound(&self, listen: SocketAddr, advertised: SocketAddr) {
+        *self.address.write() = Some(listen);
+        self.core.lock().own.address = advertised.to_string();
+    }
+
+    fn ask_for_link(&self, dial: Dial) {
+        // The node holds the receiver too, so the channel is open.
+        let _ = self.dials.0.try_send(dial);
     }
 
-    fn now_ms(&self) -> u64 {
+    /// Waits for the next link that is wanted.
+    pub async fn next_dial(&self) -> Option<Dial> {
+        self.dials.1.recv().await.ok()
+    }
+
+    /// Monotonic time.
+    pub fn now_ms(&self) -> u64 {
         self.clock.monotonic_ms()
     }
 
@@ -132,6 +140,11 @@
         self.core.lock().own.clone()
     }
 
+    /// Whether the process stops.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.is_triggered()
+    }
+
     /// Ends when the process stops.
     pub async fn stopped(&self) {
         self.stop.wait().await;
@@ -259,7 +272,7 @@
     }
 
     /// A link ended.
-    pub fn link_closed(self: &Arc<Self>, id: u64) {
+    pub fn link_closed(&self, id: u64) {
         let lost = self.core.lock().remove_link(id);
         if let Some(peer) = lost.filter(|_| !self.stop.is_triggered()) {
             self.dial(&peer.name);
