--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -11,6 +11,9 @@
 pub enum Policy {
     /// The first in the chat's rendezvous order that is under the load bound.
     Rendezvous,
+    /// As before, and past the bound the less loaded of two random servers. Many routers with
+    /// late counts would crowd the least loaded one, which all of them know.
+    RendezvousSpread,
     /// The less loaded of two random servers; the chat returns to it by its hint only.
     TwoChoices,
 }
@@ -134,7 +137,17 @@
     let is_home = |c: &Candidate<'_>| Some(c.id) == ask.home && room.keeps(c, bounds.returning);
     let (home, rest): (Vec<_>, Vec<_>) = candidates.iter().partition(|c| is_home(c));
     let rest = match policy {
-        Policy::Rendezvous => rendezvous(ask, rest, &room, bounds, draw),
+        Policy::Rendezvous => {
+            let (mut under, mut over) = rendezvous(ask, rest, &room, bounds);
+            over.sort_by(|a, b| a.per_slot().total_cmp(&b.per_slot()));
+            under.append(&mut over);
+            under
+        }
+        Policy::RendezvousSpread => {
+            let (mut under, over) = rendezvous(ask, rest, &room, bounds);
+            under.append(&mut two_choices(over, draw));
+            under
+        }
         Policy::TwoChoices => two_choices(rest, draw),
     };
     home.into_iter().chain(rest).map(|c| c.id.clone()).collect()
@@ -142,15 +155,13 @@
 
 type Picked<'c, 'a> = Vec<&'c Candidate<'a>>;
 
-/// Those under the bound in the chat's order, then the others by two choices: all routers know
-/// the least loaded one, and would crowd it before they hear of each other.
+/// Those under the bound in the chat's order, and the others.
 fn rendezvous<'c, 'a>(
     ask: &Ask<'_>,
     candidates: Picked<'c, 'a>,
     room: &Room,
     bounds: &Bounds,
-    draw: u64,
-) -> Picked<'c, 'a> {
+) -> (Picked<'c, 'a>, Picked<'c, 'a>) {
     // A returning chat without a hint finds its cache only by the order, so it gets the
     // wider bound too.
     let is_loose = !ask.is_new && ask.home.is_none();
@@ -161,8 +172,7 @@
     let (mut under, over): (Vec<_>, Vec<_>) = candidates.into_iter().partition(fits);
     let rank = |c: &Candidate<'_>| score(ask.chat.0, c.id.as_str(), f64::from(c.slots));
     under.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
-    under.append(&mut two_choices(over, draw));
-    under
+    (under, over)
 }
 
 /// A random order, weighted by slots, with the less loaded of the first two in front.
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -100,7 +100,7 @@
     let (policy, key) = match prompt {
         Some(prompt) => {
             let key = prompt.key(mean_load, servers.len(), draw);
-            (Policy::Rendezvous, key)
+            (Policy::RendezvousSpread, key)
         }
         None => (Policy::TwoChoices, 0),
     };
