--- a/src/decide/choose/tests.rs
+++ b/src/decide/choose/tests.rs
@@ -56,3 +56,31 @@
         assert!(whole == ids[0] || whole == rest, "chat {chat} moved");
     }
 }
+
+/// Guards against many routers with the same late counts that all pick the one least loaded
+/// server when none is under the bound.
+#[test]
+fn order_spread_past_the_bound_takes_several_servers() {
+    let ids: Vec<ServerId> = ["a", "b", "c", "d"].map(ServerId::from).into();
+    let candidates: Vec<Candidate<'_>> = ids
+        .iter()
+        .zip([9.0, 10.0, 11.0, 12.0])
+        .map(|(id, load)| Candidate { id, slots: 4, load })
+        .collect();
+    let ask = Ask {
+        chat: ChatId(7),
+        home: None,
+        is_new: true,
+    };
+    let none_fits = Bounds {
+        returning: 0.1,
+        new: 0.1,
+    };
+    let firsts = |policy| {
+        let firsts =
+            (0..50).map(|draw| order(policy, &ask, &candidates, &none_fits, draw)[0].clone());
+        firsts.collect::<std::collections::HashSet<_>>().len()
+    };
+    assert_eq!(firsts(Policy::Rendezvous), 1);
+    assert!(firsts(Policy::RendezvousSpread) >= 2);
+}
