Keep the log's notes of lines left out within its queue

Found by reading: the note of log_limited was added whatever waited, so with a reader that has stopped each event added a line a second for ever. The note counts with its line now, and what neither fits is counted as dropped.

--- a/src/observe/logging/queue.rs
+++ b/src/observe/logging/queue.rs
@@ -102,21 +102,25 @@
         let mut state = self.shared.state.lock();
         let line = String::from_utf8_lossy(&self.line);
         let event = event_of(&line);
-        match state.rate.line(event, now_ms) {
-            Verdict::Written => {}
+        let left_out = match state.rate.line(event, now_ms) {
+            Verdict::Written => 0,
+            Verdict::WrittenAfter(lines) => lines,
             Verdict::LeftOut => {
                 self.line.clear();
                 return Ok(());
             }
-            Verdict::WrittenAfter(lines) => {
-                let note = note_line("log_limited", &format!("of={event} lines={lines}"));
+        };
+        let note = match left_out {
+            0 => String::new(),
+            lines => note_line("log_limited", &format!("of={event} lines={lines}")),
+        };
+        match state.waiting.len() + note.len() + self.line.len() <= WAITING_MAX_BYTES {
+            true => {
                 state.waiting.extend_from_slice(note.as_bytes());
+                state.waiting.append(&mut self.line);
             }
-        }
-        match state.waiting.len() + self.line.len() <= WAITING_MAX_BYTES {
-            true => state.waiting.append(&mut self.line),
             false => {
-                state.dropped_lines += 1;
+                state.dropped_lines += 1 + left_out;
                 self.line.clear();
             }
         }
--- a/src/observe/logging/queue/tests.rs
+++ b/src/observe/logging/queue/tests.rs
@@ -101,3 +101,32 @@
     assert!((3..=6).contains(&rejected), "{text}");
     assert!(text.contains("event=server_left"), "{text}");
 }
+
+/// The notes of what was left out once went past the bound of the queue: with a reader that
+/// has stopped, each event added a line a second for ever.
+#[test]
+fn writer_notes_of_lines_left_out_stay_within_the_queue() {
+    let output = Blocked::default();
+    let queue = LogQueue::spawn(output.clone(), 1).unwrap();
+    let mut writer = queue.writer();
+    // The thread takes this line and is held up by it, so that all others wait.
+    writeln!(writer, "event=first").unwrap();
+    writer.flush().unwrap();
+    while !queue.shared.state.lock().is_writing {
+        thread::yield_now();
+    }
+    let long = "x".repeat(WAITING_MAX_BYTES - 200);
+    let mut second = |filler: &str| {
+        for event in 0..40 {
+            for _ in 0..2 {
+                writeln!(writer, "event=e{event} {filler}").unwrap();
+                writer.flush().unwrap();
+            }
+        }
+    };
+    second(&long);
+    thread::park_timeout(Duration::from_millis(1_050));
+    second("");
+    assert!(queue.shared.state.lock().waiting.len() <= WAITING_MAX_BYTES);
+    output.release();
+}
