--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet, VecDeque};
 
-use jujubeusher::decide::fleet_counts::{Counts, Scope, news};
+use jujubeusher::decide::fleet_counts::{Counts, Scope, take_changes};
 use jujubeusher::ids::ServerId;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -282,8 +282,8 @@
                 Scope::Fleet => &all,
             };
             let receiver = &mut self.routers[link.to];
-            let news = news(&mut link.told, now, COUNTS_MAX);
-            receiver.fleet.take(link.number, news);
+            let changes = take_changes(&mut link.told, now, COUNTS_MAX);
+            receiver.fleet.take(link.number, changes);
             receiver.apply_counts(now_ms);
         }
         let at_us = now_us + COUNTS_PERIOD_MS * 1_000;
--- a/model/src/router.rs
+++ b/model/src/router.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use jujubeusher::decide::fleet_counts::{Counts, FleetCounts};
 use jujubeusher::decide::load::{Report, ServerLoad};
-use jujubeusher::decide::placement::{Full, Prompt, Server, place};
+use jujubeusher::decide::placement::{Full, PromptDemand, Server, place};
 use jujubeusher::decide::rendezvous::score;
 use jujubeusher::ids::{Incarnation, ServerId};
 
@@ -64,8 +64,8 @@
         self.servers.iter().position(|(id, _)| *id == first)
     }
 
-    fn prompt(&self, shared_hash: u64, routers: usize) -> Prompt {
-        Prompt {
+    fn prompt(&self, shared_hash: u64, routers: usize) -> PromptDemand {
+        PromptDemand {
             shared_hash,
             own: self.prompts.get(&shared_hash).copied().unwrap_or(0),
             routers,
@@ -120,7 +120,7 @@
     }
 }
 
-fn placed(seen: &[Server], prompt: Option<Prompt>, draw: u64) -> Option<ServerId> {
+fn placed(seen: &[Server], prompt: Option<PromptDemand>, draw: u64) -> Option<ServerId> {
     match place(seen, prompt, draw) {
         Ok(order) => order.into_iter().next(),
         Err(Full) => None,
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -11,8 +11,8 @@
 pub enum Policy {
     /// The first in the chat's rendezvous order that is under the load bound.
     Rendezvous,
-    /// As before, and past the bound the less loaded of two random servers. Many routers with
-    /// late counts would crowd the least loaded one, which all of them know.
+    /// Like [`Policy::Rendezvous`], but beyond the bound the less loaded of two random servers and
+    /// not the least loaded of all: that one many routers with late counts would crowd.
     RendezvousSpread,
     /// The less loaded of two random servers; the chat returns to it by its hint only.
     TwoChoices,
--- a/src/decide/fleet_counts.rs
+++ b/src/decide/fleet_counts.rs
@@ -142,33 +142,33 @@
 /// rest is left for the next time.
 ///
 /// ```
-/// use jujubeusher::decide::fleet_counts::{Counts, news};
+/// use jujubeusher::decide::fleet_counts::{Counts, take_changes};
 /// let mut told = Counts::new();
 /// let now = Counts::from([(1, 2), (2, 9)]);
-/// assert_eq!(news(&mut told, &now, 1), [(2, 9)]);
-/// assert_eq!(news(&mut told, &now, 1), [(1, 2)]);
-/// assert!(news(&mut told, &now, 1).is_empty());
+/// assert_eq!(take_changes(&mut told, &now, 1), [(2, 9)]);
+/// assert_eq!(take_changes(&mut told, &now, 1), [(1, 2)]);
+/// assert!(take_changes(&mut told, &now, 1).is_empty());
 /// ```
-pub fn news(told: &mut Counts, now: &Counts, max: usize) -> Vec<(ServerNumber, u32)> {
+pub fn take_changes(told: &mut Counts, now: &Counts, max: usize) -> Vec<(ServerNumber, u32)> {
     let changed = now
         .iter()
         .filter(|(server, count)| told.get(*server) != Some(*count));
     let changed = changed.map(|(server, count)| (*server, *count));
     let gone = told.keys().filter(|server| !now.contains_key(*server));
-    let mut news: Vec<_> = changed.chain(gone.map(|server| (*server, 0))).collect();
-    if news.len() > max {
+    let mut changes: Vec<_> = changed.chain(gone.map(|server| (*server, 0))).collect();
+    if changes.len() > max {
         let change = |(server, count): &(ServerNumber, u32)| {
             let before = told.get(server).copied().unwrap_or(0);
             before.abs_diff(*count)
         };
-        news.sort_by_key(|entry| std::cmp::Reverse(change(entry)));
-        news.truncate(max);
+        changes.sort_by_key(|entry| std::cmp::Reverse(change(entry)));
+        changes.truncate(max);
     }
-    for (server, count) in &news {
+    for (server, count) in &changes {
         match count {
             0 => _ = told.swap_remove(server),
             _ => _ = told.insert(*server, *count),
         }
     }
-    news
+    changes
 }
--- a/src/decide/fleet_counts/tests.rs
+++ b/src/decide/fleet_counts/tests.rs
@@ -41,24 +41,24 @@
 }
 
 #[test]
-fn news_tell_what_is_new_other_or_gone() {
+fn take_changes_tell_what_is_new_other_or_gone() {
     let mut told = Counts::from([(1, 1), (2, 2), (3, 3)]);
     let now = Counts::from([(1, 1), (2, 5), (4, 4)]);
-    assert_eq!(news(&mut told, &now, 9), [(2, 5), (4, 4), (3, 0)]);
-    assert!(news(&mut told, &now, 9).is_empty());
+    assert_eq!(take_changes(&mut told, &now, 9), [(2, 5), (4, 4), (3, 0)]);
+    assert!(take_changes(&mut told, &now, 9).is_empty());
 }
 
 /// The counts of 2,400 servers, most of which change in each period, passed the bound on bytes.
 #[test]
-fn news_are_bounded_and_catch_up_with_the_largest_first() {
+fn take_changes_are_bounded_and_catch_up_with_the_largest_first() {
     let now: Counts = (0..2_400)
         .map(|server| (server, 1 + server as u32 % 50))
         .collect();
     let mut told = Counts::new();
-    let first = news(&mut told, &now, 300);
+    let first = take_changes(&mut told, &now, 300);
     assert_eq!(first.len(), 300);
     assert!(first.iter().all(|(_, count)| *count >= 44));
-    (0..7).for_each(|_| _ = news(&mut told, &now, 300));
+    (0..7).for_each(|_| _ = take_changes(&mut told, &now, 300));
     assert_eq!(told, now);
 }
 
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -17,9 +17,9 @@
     returning: 1.7,
     new: 1.0,
 };
-/// Requests for one prompt over the mean load from which on a further server takes a part of
-/// them. The counts of a server are a second late, within which a prompt that turns hot would
-/// fill the first one's queue.
+/// Requests for one prompt, in multiples of the mean load, from which on a further server takes a
+/// part of them: the load up to which a server keeps its prompts. The counts of the other routers
+/// are half a second late, within which a prompt that turns hot would fill the first one's queue.
 const PROMPT_LOAD: f64 = 1.7;
 /// Requests that a server holds, as a multiple of those it runs at once, from which on it gets
 /// no more: what waits behind a full batch tends to be late. At five times the usual traffic two
@@ -37,9 +37,9 @@
     pub view: LoadView,
 }
 
-/// The shared parts of a request's prompt.
+/// The shared parts of a request's prompt, and how much they are asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Prompt {
+pub struct PromptDemand {
     /// Identifies them.
     pub shared_hash: u64,
     /// Requests of this router with the same parts that are in flight.
@@ -48,7 +48,7 @@
     pub routers: usize,
 }
 
-impl Prompt {
+impl PromptDemand {
     /// Key of the order in which servers are tried. A prompt with more requests in flight than a
     /// server should hold has several, of which the draw takes one.
     fn key(&self, mean_load: f64, servers: usize, draw: u64) -> u64 {
@@ -80,7 +80,11 @@
 /// let roomy = Server { slots: 8, ..server };
 /// assert_eq!(place(&[roomy.clone()], None, 0), Ok(vec![roomy.id]));
 /// ```
-pub fn place(servers: &[Server], prompt: Option<Prompt>, draw: u64) -> Result<Vec<ServerId>, Full> {
+pub fn place(
+    servers: &[Server],
+    prompt: Option<PromptDemand>,
+    draw: u64,
+) -> Result<Vec<ServerId>, Full> {
     let candidates = candidates(servers);
     let total: f64 = candidates.iter().map(|c| c.load).sum();
     let mean_load = total / candidates.len().max(1) as f64;
--- a/src/decide/placement/tests.rs
+++ b/src/decide/placement/tests.rs
@@ -17,8 +17,8 @@
 }
 
 /// A prompt of which this router has no other request.
-fn prompt(shared_hash: u64) -> Prompt {
-    Prompt {
+fn prompt(shared_hash: u64) -> PromptDemand {
+    PromptDemand {
         shared_hash,
         own: 0,
         routers: 7,
@@ -46,13 +46,13 @@
     assert_eq!(place(&servers, Some(prompt(7)), 0).unwrap()[0], home);
 }
 
-/// The counts of other routers come a second late: a prompt that turned hot filled the queue of
+/// The counts of other routers come late: a prompt that turned hot filled the queue of
 /// its first server meanwhile.
 #[test]
 fn place_hot_prompt_has_several_servers() {
     let servers: Vec<Server> = (0..9).map(|name| server(name, 4)).collect();
     let firsts = |own: u32| {
-        let hot = Prompt {
+        let hot = PromptDemand {
             own,
             routers: 75,
             ..prompt(7)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod ask;
 pub mod attempt;
+pub mod caller_times;
 pub mod followers;
 pub mod mirror;
 pub mod place;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use crate::decide::placement::{Full, Prompt, Server, place};
+use crate::decide::placement::{Full, PromptDemand, Server, place};
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
 use crate::gateway::ask::{Ask, Sends};
@@ -40,7 +40,7 @@
             view: state.load.view(&server.id),
         })
         .collect();
-    let prompt = ask.prompt.map(|prompt| Prompt {
+    let prompt = ask.prompt.map(|prompt| PromptDemand {
         shared_hash: prompt.shared_hash,
         own: state.prompts.in_flight(prompt.shared_hash),
         routers: state.routers(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 //! routers' requests on each server.
 
 mod counts;
-pub(super) mod pack;
+mod pack;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -56,12 +56,12 @@
     let listener = std::net::TcpListener::bind(address)
         .and_then(smol::Async::new)
         .map_err(|source| Error::Listen { address, source })?;
-    let accept = accept_loop(
-        Arc::clone(state),
-        listener.into(),
-        Arc::clone(mirrors),
-        stop.clone(),
-    );
+    let source = Arc::new(Source {
+        state: Arc::clone(state),
+        mirrors: Arc::clone(mirrors),
+        packer: Packer::default(),
+    });
+    let accept = accept_loop(source, listener.into(), stop.clone());
     state.runtime.detach(accept);
     if settings.seeds.contains(&settings.listen) {
         for seed in settings
@@ -78,7 +78,14 @@
     Ok(())
 }
 
-async fn accept_loop(state: Arc<State>, listener: TcpListener, mirrors: Mirrors, stop: Shutdown) {
+/// What subscribers are served from.
+struct Source {
+    state: Arc<State>,
+    mirrors: Mirrors,
+    packer: Packer,
+}
+
+async fn accept_loop(source: Arc<Source>, listener: TcpListener, stop: Shutdown) {
     loop {
         let accepted = async { Some(listener.accept().await) }
             .or(async {
@@ -89,10 +96,9 @@
         match accepted {
             None => return,
             Some(Ok((stream, _))) => {
-                let (state, mirrors, stop) =
-                    (Arc::clone(&state), Arc::clone(&mirrors), stop.clone());
-                state.runtime.clone().detach(async move {
-                    let served = serve(&state, stream, &mirrors).or(async {
+                let (source, stop) = (Arc::clone(&source), stop.clone());
+                source.state.runtime.clone().detach(async move {
+                    let served = serve(&source, stream).or(async {
                         stop.wait().await;
                         Err(LinkError::Closed)
                     });
@@ -120,11 +126,8 @@
 /// Takes the counts of one subscriber and passes updates on to it, until the link ends. Another
 /// seed is told nothing here, as it reads the tables itself and this one tells it its counts
 /// over a link of its own.
-async fn serve(
-    state: &State,
-    stream: TcpStream,
-    mirrors: &Mirrors,
-) -> std::result::Result<(), LinkError> {
+async fn serve(source: &Source, stream: TcpStream) -> std::result::Result<(), LinkError> {
+    let state = &source.state;
     let _ = stream.set_nodelay(true);
     let (mut writer, mut reader) = handshake(stream, &relay_key(state), Side::Acceptor).await?;
     // The first message proves that the subscriber has the key.
@@ -137,21 +140,21 @@
     let receive = receive_counts(&mut reader, &link);
     match scope {
         Scope::Group => receive.await,
-        _ => {
-            receive
-                .or(tell_subscriber(state, &mut writer, mirrors))
-                .await
-        }
+        _ => receive.or(tell_subscriber(source, &mut writer)).await,
     }
 }
 
 /// Passes on updates of the tables, and the counts of all routers now and then.
 async fn tell_subscriber(
-    state: &State,
+    source: &Source,
     writer: &mut FrameWriter,
-    mirrors: &Mirrors,
 ) -> std::result::Result<(), LinkError> {
-    let updates: Vec<_> = mirrors.iter().map(|mirror| mirror.subscribe()).collect();
+    let state = &source.state;
+    let updates: Vec<_> = source
+        .mirrors
+        .iter()
+        .map(|mirror| mirror.subscribe())
+        .collect();
     let mut told = Counts::new();
     let mut tick = smol::Timer::after(COUNTS_PERIOD);
     loop {
@@ -166,7 +169,7 @@
                 let update = update.map_err(|_| LinkError::Closed)?;
                 within(
                     SILENCE_MAX,
-                    send(writer, &state.packer, table as u32, update),
+                    send(writer, &source.packer, table as u32, update),
                 )
                 .await
             }
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::decide::fleet_counts::{Counts, Scope, news};
+use crate::decide::fleet_counts::{Counts, Scope, take_changes};
 use crate::gateway::relay::wire::{Count, Message};
 use crate::gateway::relay::{NO_TABLE, SILENCE_MAX};
 use crate::gateway::state::State;
@@ -66,7 +66,7 @@
     now: &Counts,
     routers: u32,
 ) -> std::result::Result<(), LinkError> {
-    let counts = news(told, now, COUNTS_MAX).into_iter();
+    let counts = take_changes(told, now, COUNTS_MAX).into_iter();
     let counts = counts.map(|(server, requests)| Count { server, requests });
     let message = Message {
         table: NO_TABLE,
--- a/src/gateway/relay/pack.rs
+++ b/src/gateway/relay/pack.rs
@@ -20,7 +20,7 @@
 
 /// Contents from this length on are deflated; shorter ones gain less than they cost.
 const DEFLATE_MIN_BYTES: usize = 2_048;
-/// Longest piece of a content, a quarter of the largest frame.
+/// Longest piece of a content: a quarter of the largest frame, as a message has two at most.
 const PIECE_BYTES: usize = 64 * 1024;
 /// Longest content that is taken, many times the largest configuration that was seen.
 const CONTENT_MAX_BYTES: u64 = 16 << 20;
@@ -44,11 +44,12 @@
         let Some(content) = &row.content else {
             return vec![piece(None, false, false)];
         };
-        let is_deflated = content.len() >= DEFLATE_MIN_BYTES;
-        let bytes = match is_deflated {
+        let deflated = match content.len() >= DEFLATE_MIN_BYTES {
             true => self.deflated(content),
-            false => content.clone(),
+            false => None,
         };
+        let is_deflated = deflated.is_some();
+        let bytes = deflated.unwrap_or_else(|| content.clone());
         let starts = (0..bytes.len().max(1)).step_by(PIECE_BYTES);
         let pieces = starts.map(|start| {
             let end = (start + PIECE_BYTES).min(bytes.len());
@@ -61,21 +62,28 @@
         pieces.collect()
     }
 
-    fn deflated(&self, content: &Bytes) -> Bytes {
+    /// The deflated content; none where that fails, so that it goes out as it is.
+    fn deflated(&self, content: &Bytes) -> Option<Bytes> {
         let mut last = self.last.lock();
         // Subscribers are sent clones of one content, which share their memory.
         let is_same = |known: &Bytes| known.as_ptr() == content.as_ptr() && known == content;
         if let Some((_, deflated)) = last.as_ref().filter(|(known, _)| is_same(known)) {
-            return deflated.clone();
+            return Some(deflated.clone());
         }
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        // A vector takes all bytes, so neither of these fails.
-        let deflated = encoder
-            .write_all(content)
-            .and_then(|()| encoder.finish())
-            .map_or_else(|_| Bytes::new(), Bytes::from);
+        let finished = encoder.write_all(content).and_then(|()| encoder.finish());
+        let deflated = match finished {
+            Ok(deflated) => Bytes::from(deflated),
+            Err(error) => {
+                log::error!(
+                    "event=deflate_failed bytes={} error=\"{error}\"",
+                    content.len()
+                );
+                return None;
+            }
+        };
         *last = Some((content.clone(), deflated.clone()));
-        deflated
+        Some(deflated)
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
-use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
-use crate::config::routing::{CallerLimits, RoutingTable};
+use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::prompt_homes::{PromptHomes, source};
@@ -17,11 +16,10 @@
 use crate::decide::retry_window::{FleetBound, RetryWindow};
 use crate::edge::clock::Clock;
 use crate::error::Result;
+use crate::gateway::caller_times::CallerTimes;
 use crate::gateway::prompt_flight::PromptFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reach::Reach;
-use crate::gateway::relay::pack::Packer;
-use crate::http::limits::TimeLimit;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
 use crate::observe::gateway_metrics::GatewayMetrics;
@@ -64,38 +62,6 @@
     pub key: String,
 }
 
-/// Times that callers may take, as the configuration in force states them.
-#[derive(Debug, Clone)]
-pub struct CallerTimes {
-    /// For which a connection may lie idle.
-    pub idle: TimeLimit,
-    /// For a whole header block.
-    pub header: TimeLimit,
-}
-
-/// Time beyond the stated limit for which an idle connection is kept: a request that a caller
-/// sends within the limit must not meet a close, nor one that still goes by an older version.
-const IDLE_MARGIN: Duration = Duration::from_secs(5);
-
-impl Default for CallerTimes {
-    fn default() -> Self {
-        // Until a configuration states them.
-        Self {
-            idle: Duration::from_secs(90).into(),
-            header: Duration::from_secs(10).into(),
-        }
-    }
-}
-
-impl CallerTimes {
-    /// Puts the limits of a configuration into force.
-    pub fn apply(&self, limits: &CallerLimits) {
-        self.idle
-            .set(Duration::from_millis(limits.idle_ms) + IDLE_MARGIN);
-        self.header.set(Duration::from_millis(limits.header_ms));
-    }
-}
-
 /// State that all requests share.
 pub struct State {
     settings: RwLock<Arc<GatewaySettings>>,
@@ -124,8 +90,6 @@
     retries: Mutex<IndexMap<ServiceId, RetryWindow>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
-    /// Deflates what is passed on to other routers.
-    pub(super) packer: Packer,
     routers_known: AtomicU32,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
@@ -169,7 +133,6 @@
             retries: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
-            packer: Packer::default(),
             routers_known: AtomicU32::new(0),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
