--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -101,6 +101,11 @@
         self.state.lock().runs.clone()
     }
 
+    /// The runs after the first `known`.
+    pub fn runs_from(&self, known: usize) -> Vec<Run> {
+        self.state.lock().runs[known..].to_vec()
+    }
+
     /// Requests that it declined to run.
     pub fn declined(&self) -> usize {
         self.state.lock().declined
