--- a/src/decide/fleet_counts.rs
+++ b/src/decide/fleet_counts.rs
@@ -14,9 +14,10 @@
 /// Which routers' requests the counts received over a link include.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
-    /// Only those of the sender, which receives the counts of all routers in return.
-    Own,
-    /// Those of the sender and of the routers that send it their own counts.
+    /// Those of the sender and of the routers below it in the relay tree; the sender receives the
+    /// counts of all routers in return.
+    Subtree,
+    /// Those of another seed and of the routers below it.
     Group,
     /// Those of all routers, including this one.
     Fleet,
@@ -74,10 +75,11 @@
         }
     }
 
-    /// Number of routers in this group: this one and those that send it their own counts.
-    pub fn group_router_count(&self) -> u32 {
-        let own = self.links.values().filter(|link| link.scope == Scope::Own);
-        1 + own.count() as u32
+    /// Number of routers in this subtree: this one and those below it.
+    pub fn subtree_router_count(&self) -> u32 {
+        let below = self.links.values();
+        let below = below.filter(|link| link.scope == Scope::Subtree);
+        1 + below.map(|link| link.routers).sum::<u32>()
     }
 
     /// Number of routers in the fleet, as far as known over the links.
@@ -85,7 +87,7 @@
     /// ```
     /// use jujubeusher::decide::fleet_counts::{FleetCounts, Scope};
     /// let mut fleet = FleetCounts::default();
-    /// fleet.open_link(Scope::Own);
+    /// fleet.open_link(Scope::Subtree);
     /// let other = fleet.open_link(Scope::Group);
     /// fleet.set_router_count(other, 5);
     /// assert_eq!(fleet.router_count(), 7);
@@ -93,7 +95,7 @@
     pub fn router_count(&self) -> u32 {
         let links_of = |scope| self.links.values().filter(move |link| link.scope == scope);
         let reported = links_of(Scope::Fleet).map(|link| link.routers).max();
-        let counted = self.group_router_count()
+        let counted = self.subtree_router_count()
             + links_of(Scope::Group).map(|link| link.routers).sum::<u32>();
         counted.max(reported.unwrap_or(0))
     }
@@ -103,15 +105,16 @@
         self.links.shift_remove(&link);
     }
 
-    /// Requests of this router's group, to be sent to the other groups: those of this router and
-    /// of the routers that send it their own counts.
-    pub fn group_counts(&self, own: &Counts) -> Counts {
+    /// Requests of this router and of those below it, to be sent to the router that relays to this
+    /// one, or to the other seeds.
+    pub fn subtree_counts(&self, own: &Counts) -> Counts {
         let mut sum = own.clone();
-        self.add(&mut sum, Scope::Own);
+        self.add(&mut sum, Scope::Subtree);
         sum
     }
 
-    /// Requests of all routers except this one.
+    /// Requests of all routers except this one. The counts of the whole fleet, where a link reports
+    /// them, include those of the routers below.
     ///
     /// ```
     /// use jujubeusher::decide::fleet_counts::{Counts, FleetCounts, Scope};
@@ -123,14 +126,18 @@
     /// ```
     pub fn others(&self, own: &Counts) -> Counts {
         let mut sum = Counts::new();
+        let is_relayed = self.links.values().any(|link| link.scope == Scope::Fleet);
+        if !is_relayed {
+            self.add(&mut sum, Scope::Subtree);
+            self.add(&mut sum, Scope::Group);
+            return sum;
+        }
         self.add(&mut sum, Scope::Fleet);
         for (server, count) in own {
             if let Some(total) = sum.get_mut(server) {
                 *total = total.saturating_sub(*count);
             }
         }
-        self.add(&mut sum, Scope::Own);
-        self.add(&mut sum, Scope::Group);
         sum
     }
 
--- a/src/decide/fleet_counts/tests.rs
+++ b/src/decide/fleet_counts/tests.rs
@@ -8,12 +8,12 @@
     // Seeds 0 and 1; 2 subscribes to 0, and 3 to 1.
     let mut seeds: Vec<FleetCounts> = (0..2).map(|_| FleetCounts::default()).collect();
     for (index, seed) in seeds.iter_mut().enumerate() {
-        let subscriber = seed.open_link(Scope::Own);
+        let subscriber = seed.open_link(Scope::Subtree);
         seed.apply(subscriber, own[index + 2].clone());
     }
     let groups = [
-        seeds[0].group_counts(&own[0]),
-        seeds[1].group_counts(&own[1]),
+        seeds[0].subtree_counts(&own[0]),
+        seeds[1].subtree_counts(&own[1]),
     ];
     for (index, seed) in seeds.iter_mut().enumerate() {
         let other = seed.open_link(Scope::Group);
@@ -38,7 +38,7 @@
 #[test]
 fn close_link_removes_counts_of_a_lost_router() {
     let mut fleet = FleetCounts::default();
-    let link = fleet.open_link(Scope::Own);
+    let link = fleet.open_link(Scope::Subtree);
     fleet.apply(link, [(7, 3)]);
     fleet.close_link(link);
     fleet.apply(link, [(7, 4)]);
@@ -74,12 +74,38 @@
 #[test]
 fn router_count_subscriber_matches_its_seed() {
     let mut seed = FleetCounts::default();
-    (0..4).for_each(|_| _ = seed.open_link(Scope::Own));
+    (0..4).for_each(|_| _ = seed.open_link(Scope::Subtree));
     let other = seed.open_link(Scope::Group);
     seed.set_router_count(other, 3);
-    assert_eq!((seed.group_router_count(), seed.router_count()), (5, 8));
+    assert_eq!((seed.subtree_router_count(), seed.router_count()), (5, 8));
     let mut subscriber = FleetCounts::default();
     let link = subscriber.open_link(Scope::Fleet);
     subscriber.set_router_count(link, seed.router_count());
     assert_eq!(subscriber.router_count(), 8);
 }
+
+/// Guards against requests that are counted twice or not at all below a router that relays: a seed,
+/// a router below it, and two below that.
+#[test]
+fn others_router_in_the_middle_passes_on_sums_and_totals() {
+    let own: Vec<Counts> = [1, 2, 4, 8].map(|count| Counts::from([(7, count)])).into();
+    let mut middle = FleetCounts::default();
+    for leaf in &own[2..] {
+        let link = middle.open_link(Scope::Subtree);
+        middle.apply(link, leaf.clone());
+    }
+    let mut seed = FleetCounts::default();
+    let below = seed.open_link(Scope::Subtree);
+    seed.apply(below, middle.subtree_counts(&own[1]));
+    seed.set_router_count(below, middle.subtree_router_count());
+    assert_eq!(seed.others(&own[0])[&7], 14);
+    assert_eq!(seed.router_count(), 4);
+    let above = middle.open_link(Scope::Fleet);
+    middle.apply(above, [(7, 15)]);
+    middle.set_router_count(above, seed.router_count());
+    assert_eq!(middle.others(&own[1])[&7], 13);
+    assert_eq!(
+        (middle.subtree_router_count(), middle.router_count()),
+        (3, 4)
+    );
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod prompt_homes;
 pub mod recovery;
 pub mod registry;
+pub mod relay_tree;
 pub mod rendezvous;
 pub mod retry;
 pub mod retry_window;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::ids::{Incarnation, ServerId, ServiceId, ZoneId};
 
@@ -161,8 +161,10 @@
         unreadable: &[ServerId],
         now_ms: u64,
     ) -> Vec<(ServerId, Change)> {
-        let listed = |id: &ServerId| rows.iter().any(|row| row.id == *id);
-        let is_missing = |id: &&ServerId| !listed(id) && !unreadable.contains(id);
+        // Sets, since a fleet has thousands of servers.
+        let listed: IndexSet<&ServerId> = rows.iter().map(|row| &row.id).collect();
+        let unreadable: IndexSet<&ServerId> = unreadable.iter().collect();
+        let is_missing = |id: &&ServerId| !listed.contains(*id) && !unreadable.contains(*id);
         let missing: Vec<ServerId> = self.entries.keys().filter(is_missing).cloned().collect();
         let mut changes = Vec::new();
         for id in missing {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -3,19 +3,23 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
 use crate::gateway::watch::{Position, Propagation, Row, Rows, TableHandler};
 
 /// Capacity of a subscriber's queue. A subscriber that falls further behind is disconnected and
-/// has to subscribe again, which starts with a snapshot.
+/// has to subscribe again.
 const SUBSCRIBER_QUEUE_MAX: usize = 256;
+/// Number of removed rows that are remembered, so that a subscriber that returns receives changes
+/// instead of a snapshot: more than the servers of an availability zone at the design size.
+const REMOVED_MAX: usize = 1_024;
 
 /// Where rows were read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,17 +34,27 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Update {
     /// The full content of the table.
-    Snapshot(Rows),
+    Snapshot(Arc<Rows>),
     /// Rows that changed; empty if the source answered without a relevant change.
-    Changed(Rows),
+    Changed(Arc<Rows>),
     /// The source does not answer.
     Unavailable,
 }
 
+/// A row and its last published change.
+struct StoredRow {
+    content: Bytes,
+    published_at: Position,
+}
+
 #[derive(Default)]
 struct State {
-    rows: IndexMap<String, Bytes>,
+    rows: IndexMap<String, StoredRow>,
     position: Option<Position>,
+    /// Keys of removed rows and the positions of their removal, oldest first.
+    removed: VecDeque<(String, Position)>,
+    /// Oldest position from which all changes are known.
+    history_start: Position,
     is_unavailable: bool,
     subscribers: Vec<Sender<Update>>,
 }
@@ -84,7 +98,8 @@
         self.is_relayed.store(is_relayed, Ordering::Relaxed);
     }
 
-    /// Replaces the content by a snapshot, unless the copy is newer.
+    /// Replaces the content by a snapshot, unless the copy is newer. Subscribers that have the
+    /// previous content receive the differences that they need.
     pub fn replace(&self, rows: Rows, origin: Origin) {
         let mut state = self.state.lock();
         state.is_unavailable = false;
@@ -94,12 +109,11 @@
             log::debug!("event=rows_outdated source={} origin={origin:?}", self.name);
             return;
         }
-        self.handler.replace(&rows.rows);
-        let current = rows.rows.iter();
-        let current = current.filter_map(|row| Some((row.key.clone(), row.content.clone()?)));
-        state.rows = current.collect();
-        state.position = Some(rows.position);
-        state.publish(&Update::Snapshot(rows));
+        let published = self.handler.replace(&rows.rows);
+        match state.position {
+            None => state.set_first(rows),
+            Some(_) => state.set_next(rows, &published),
+        }
     }
 
     /// Applies changed rows, unless the copy is newer or has no snapshot yet; publishes those that
@@ -114,20 +128,13 @@
         }
         let mut published = Vec::new();
         for row in rows.rows {
-            let propagation = self.handler.apply(&row);
-            match &row.content {
-                Some(content) => _ = state.rows.insert(row.key.clone(), content.clone()),
-                None => _ = state.rows.swap_remove(&row.key),
-            }
-            if propagation == Propagation::Publish {
+            let is_published = self.handler.apply(&row) == Propagation::Publish;
+            state.store(&row, rows.position, is_published);
+            if is_published {
                 published.push(row);
             }
         }
-        state.position = Some(rows.position);
-        state.publish(&Update::Changed(Rows {
-            rows: published,
-            position: rows.position,
-        }));
+        state.publish_changes(published, rows.position);
     }
 
     /// Records that the source does not answer this router, or the one that relays it.
@@ -140,17 +147,17 @@
         }
     }
 
-    /// Subscribes to updates from now on, starting with a snapshot if there is one.
-    pub fn subscribe(&self) -> Receiver<Update> {
+    /// Subscribes to updates from now on. The first one brings a subscriber that has the content of
+    /// position `known` up to date: the changes since then, or a snapshot if they are not known.
+    pub fn subscribe(&self, known: Option<Position>) -> Receiver<Update> {
         let (sender, receiver) = async_channel::bounded(SUBSCRIBER_QUEUE_MAX);
         let mut state = self.state.lock();
         if let Some(position) = state.position {
-            let rows = state.rows.iter().map(|(key, content)| Row {
-                key: key.clone(),
-                content: Some(content.clone()),
-            });
-            let rows = rows.collect();
-            let _ = sender.try_send(Update::Snapshot(Rows { rows, position }));
+            let first = match known.filter(|known| *known >= state.history_start) {
+                Some(known) => Update::Changed(state.changes_after(known, position)),
+                None => Update::Snapshot(state.snapshot(position)),
+            };
+            let _ = sender.try_send(first);
         }
         if state.is_unavailable {
             let _ = sender.try_send(Update::Unavailable);
@@ -161,9 +168,94 @@
 }
 
 impl State {
+    fn set_first(&mut self, rows: Rows) {
+        for row in &rows.rows {
+            self.store(row, rows.position, true);
+        }
+        self.position = Some(rows.position);
+        self.history_start = rows.position;
+        self.publish(&Update::Snapshot(Arc::new(rows)));
+    }
+
+    fn set_next(&mut self, rows: Rows, published: &[String]) {
+        let position = rows.position;
+        let published: IndexSet<&str> = published.iter().map(String::as_str).collect();
+        let listed: IndexSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
+        let is_missing = |key: &&String| !listed.contains(key.as_str());
+        let missing: Vec<String> = self.rows.keys().filter(is_missing).cloned().collect();
+        let removed = missing.into_iter().map(|key| Row { key, content: None });
+        let mut changed: Vec<Row> = removed.collect();
+        for row in &changed {
+            self.store(row, position, true);
+        }
+        for row in &rows.rows {
+            let is_published = published.contains(row.key.as_str());
+            self.store(row, position, is_published);
+            if is_published {
+                changed.push(row.clone());
+            }
+        }
+        self.publish_changes(changed, position);
+    }
+
+    fn store(&mut self, row: &Row, position: Position, is_published: bool) {
+        let Some(content) = &row.content else {
+            self.rows.swap_remove(&row.key);
+            self.removed.push_back((row.key.clone(), position));
+            if self.removed.len() > REMOVED_MAX
+                && let Some((_, forgotten)) = self.removed.pop_front()
+            {
+                self.history_start = self.history_start.max(forgotten);
+            }
+            return;
+        };
+        let published_at = match self.rows.get(&row.key) {
+            Some(known) if !is_published => known.published_at,
+            _ => position,
+        };
+        let stored = StoredRow {
+            content: content.clone(),
+            published_at,
+        };
+        match self.rows.get_mut(&row.key) {
+            Some(known) => *known = stored,
+            None => _ = self.rows.insert(row.key.clone(), stored),
+        }
+    }
+
+    fn snapshot(&self, position: Position) -> Arc<Rows> {
+        let rows = self.rows.iter().map(current_row).collect();
+        Arc::new(Rows { rows, position })
+    }
+
+    /// Published changes after `known`. A row that was removed and set again is listed as removed
+    /// first.
+    fn changes_after(&self, known: Position, position: Position) -> Arc<Rows> {
+        let removed = self.removed.iter().filter(|(_, at)| *at > known);
+        let removed = removed.map(|(key, _)| Row {
+            key: key.clone(),
+            content: None,
+        });
+        let changed = self.rows.iter().filter(|(_, row)| row.published_at > known);
+        let rows = removed.chain(changed.map(current_row)).collect();
+        Arc::new(Rows { rows, position })
+    }
+
+    fn publish_changes(&mut self, rows: Vec<Row>, position: Position) {
+        self.position = Some(position);
+        self.publish(&Update::Changed(Arc::new(Rows { rows, position })));
+    }
+
     fn publish(&mut self, update: &Update) {
         // A subscriber with a full queue has missed an update, so its channel is closed.
         let is_sent = |sender: &Sender<Update>| sender.try_send(update.clone()).is_ok();
         self.subscribers.retain(is_sent);
     }
 }
+
+fn current_row((key, row): (&String, &StoredRow)) -> Row {
+    Row {
+        key: key.clone(),
+        content: Some(row.content.clone()),
+    }
+}
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -5,8 +5,14 @@
 struct RecordingHandler(Mutex<Vec<String>>);
 
 impl TableHandler for RecordingHandler {
-    fn replace(&self, rows: &[Row]) {
+    fn replace(&self, rows: &[Row]) -> Vec<String> {
         self.0.lock().push(format!("replace {}", rows.len()));
+        let is_published = |row: &&Row| {
+            let content = row.content.as_ref();
+            content.is_none_or(|content| !content.starts_with(b"."))
+        };
+        let published = rows.iter().filter(is_published);
+        published.map(|row| row.key.clone()).collect()
     }
 
     fn apply(&self, row: &Row) -> Propagation {
@@ -24,6 +30,14 @@
     fn source_available(&self) {}
 }
 
+fn snapshot(position: u64, pairs: &[(&str, Option<&str>)]) -> Update {
+    Update::Snapshot(Arc::new(rows(position, pairs)))
+}
+
+fn changed(position: u64, pairs: &[(&str, Option<&str>)]) -> Update {
+    Update::Changed(Arc::new(rows(position, pairs)))
+}
+
 fn rows(position: u64, pairs: &[(&str, Option<&str>)]) -> Rows {
     let row = |(key, content): &(&str, Option<&str>)| Row {
         key: (*key).to_owned(),
@@ -48,9 +62,8 @@
         Origin::Source,
     );
     mirror.apply(rows(6, &[("b", None)]), Origin::Source);
-    let updates = mirror.subscribe();
-    let snapshot = rows(6, &[("a", Some("1"))]);
-    assert_eq!(updates.try_recv(), Ok(Update::Snapshot(snapshot)));
+    let updates = mirror.subscribe(None);
+    assert_eq!(updates.try_recv(), Ok(snapshot(6, &[("a", Some("1"))])));
 }
 
 /// Each server updates the heartbeat count in its row about once a second; relaying all of them
@@ -59,18 +72,16 @@
 fn apply_heartbeats_are_stored_and_not_published() {
     let (mirror, _) = open();
     mirror.replace(rows(1, &[]), Origin::Source);
-    let updates = mirror.subscribe();
+    let updates = mirror.subscribe(None);
     updates.try_recv().unwrap();
     mirror.apply(
         rows(2, &[("a", Some(".1")), ("b", Some("2"))]),
         Origin::Source,
     );
-    let published = rows(2, &[("b", Some("2"))]);
-    assert_eq!(updates.try_recv(), Ok(Update::Changed(published)));
-    let snapshot = rows(2, &[("a", Some(".1")), ("b", Some("2"))]);
+    assert_eq!(updates.try_recv(), Ok(changed(2, &[("b", Some("2"))])));
     assert_eq!(
-        mirror.subscribe().try_recv(),
-        Ok(Update::Snapshot(snapshot))
+        mirror.subscribe(None).try_recv(),
+        Ok(snapshot(2, &[("a", Some(".1")), ("b", Some("2"))]))
     );
 }
 
@@ -97,7 +108,7 @@
 fn publish_subscriber_that_does_not_read_is_disconnected() {
     let (mirror, _) = open();
     mirror.replace(rows(1, &[]), Origin::Source);
-    let updates = mirror.subscribe();
+    let updates = mirror.subscribe(None);
     for position in 2..2 + 2 * SUBSCRIBER_QUEUE_MAX as u64 {
         mirror.apply(rows(position, &[("a", Some("1"))]), Origin::Source);
     }
@@ -108,9 +119,75 @@
 #[test]
 fn mark_unavailable_is_published_once() {
     let (mirror, _) = open();
-    let updates = mirror.subscribe();
+    let updates = mirror.subscribe(None);
     mirror.mark_unavailable();
     mirror.mark_unavailable();
     assert_eq!(updates.try_recv(), Ok(Update::Unavailable));
     assert!(updates.try_recv().is_err());
 }
+
+/// Guards against a full snapshot for each subscriber that returns: during an outage of the store
+/// routers subscribe again every 1.5 s, and 300 snapshots of 3,000 servers choke a seed's link.
+#[test]
+fn subscribe_again_receives_only_the_changes() {
+    let (mirror, _) = open();
+    let pairs = [("a", Some("1")), ("b", Some("2")), ("c", Some("3"))];
+    mirror.replace(rows(5, &pairs), Origin::Source);
+    mirror.apply(rows(6, &[("b", None)]), Origin::Source);
+    mirror.apply(
+        rows(7, &[("c", Some("4")), ("d", Some(".1"))]),
+        Origin::Source,
+    );
+    let first = |known| mirror.subscribe(Some(Position(known))).try_recv();
+    assert_eq!(
+        first(5),
+        Ok(changed(
+            7,
+            &[("b", None), ("c", Some("4")), ("d", Some(".1"))]
+        ))
+    );
+    assert_eq!(
+        first(6),
+        Ok(changed(7, &[("c", Some("4")), ("d", Some(".1"))]))
+    );
+    assert_eq!(first(7), Ok(changed(7, &[])));
+    assert_eq!(first(9), Ok(changed(7, &[])));
+    let all = [("a", Some("1")), ("d", Some(".1")), ("c", Some("4"))];
+    let Ok(Update::Snapshot(current)) = first(4) else {
+        panic!("no snapshot for an unknown position");
+    };
+    assert_eq!(current.rows.len(), all.len());
+}
+
+/// Guards against a snapshot for the whole fleet after the source lost its history, and against
+/// heartbeats in it.
+#[test]
+fn replace_again_publishes_the_differences() {
+    let (mirror, _) = open();
+    let pairs = [("a", Some(".1")), ("b", Some("2")), ("c", Some("3"))];
+    mirror.replace(rows(5, &pairs), Origin::Source);
+    let updates = mirror.subscribe(Some(Position(5)));
+    updates.try_recv().unwrap();
+    let pairs = [("a", Some(".2")), ("b", Some("4"))];
+    mirror.replace(rows(8, &pairs), Origin::Source);
+    let difference = changed(8, &[("c", None), ("b", Some("4"))]);
+    assert_eq!(updates.try_recv(), Ok(difference.clone()));
+    assert_eq!(
+        mirror.subscribe(Some(Position(5))).try_recv(),
+        Ok(difference)
+    );
+}
+
+/// A subscriber that was away for longer than removals are remembered would keep servers that have
+/// left.
+#[test]
+fn subscribe_after_too_many_removals_receives_a_snapshot() {
+    let (mirror, _) = open();
+    mirror.replace(rows(1, &[("kept", Some("1"))]), Origin::Source);
+    for position in 2..=2 + REMOVED_MAX as u64 {
+        mirror.apply(rows(position, &[("a", None)]), Origin::Source);
+    }
+    let first = |known| mirror.subscribe(Some(Position(known))).try_recv();
+    assert!(matches!(first(1), Ok(Update::Snapshot(_))));
+    assert!(matches!(first(2), Ok(Update::Changed(_))));
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -90,13 +90,20 @@
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
         relay::spawn(state, &mirrors, stop)?;
+        let settings = state.settings();
+        let starts_relayed = settings
+            .relay
+            .as_ref()
+            .is_some_and(|relay| !relay.seeds.is_empty() && !relay.seeds.contains(&relay.listen));
         let routes_timing = PollTiming {
             long_poll_timeout: LONG_POLL_TIMEOUT,
             pause: ROUTES_POLL_PAUSE,
+            starts_relayed,
         };
         let servers_timing = PollTiming {
             long_poll_timeout: LONG_POLL_TIMEOUT,
-            pause: Duration::from_millis(state.settings().drain_ms / SERVERS_POLL_DIVISOR),
+            pause: Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR),
+            starts_relayed,
         };
         state
             .runtime
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,11 +1,14 @@
 //! Relays the platform's tables from the routers that read them to the others.
 //!
-//! The routers at the seed addresses read the tables. Every other router subscribes to one of them,
-//! and reads the tables itself while no seed relays them. The same links carry the number of each
-//! router's requests on each server.
+//! The routers at the seed addresses read the tables. Every other router subscribes to a seed or to
+//! a router below one, as [`relay_tree`](crate::decide::relay_tree) decides, and reads the tables
+//! itself while no router relays them. The same links carry the number of requests on each server:
+//! sums of subtrees towards the seeds, and totals of the fleet back.
 
 mod counts;
+mod publish;
 mod row_codec;
+mod subscribe;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -13,43 +16,86 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use futures_util::future::select_all;
-use prost::Message as _;
-use rand::seq::SliceRandom;
+use parking_lot::Mutex;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::decide::fleet_counts::{Counts, Scope};
+use crate::decide::fleet_counts::Scope;
+use crate::decide::relay_tree::{Admission, RelayTree, Subscriber};
 use crate::error::{Error, Result};
-use crate::gateway::mirror::{Mirror, Origin, Update};
-use crate::gateway::relay::counts::{
-    COUNTS_PERIOD, CountLink, receive_counts, report_counts, send_counts,
-};
-use crate::gateway::relay::row_codec::{RowDecoder, RowEncoder};
-use crate::gateway::relay::wire::Message;
+use crate::gateway::mirror::Mirror;
+use crate::gateway::relay::counts::{CountLink, receive_counts, report_counts};
+use crate::gateway::relay::publish::publish_to_subscriber;
+use crate::gateway::relay::row_codec::RowEncoder;
+use crate::gateway::relay::wire::{Introduction, KnownTable, Message};
 use crate::gateway::state::{RelaySettings, State};
-use crate::gateway::watch::{Position, Row, Rows};
 use crate::http::pool::connect;
+use crate::ids::ZoneId;
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError, Side, handshake};
-use crate::runtime::{Shutdown, with_timeout};
+use crate::runtime::Shutdown;
 
 /// Timeout for connecting to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Silence after which a link has failed: a seed receives a response for each table at least every
-/// 1.1 s and publishes an update for each, even if nothing changed.
+/// Silence after which a link has failed: counts are sent every 200 ms, and a seed receives a
+/// response for each table at least every 1.1 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Pause before the seeds are tried again while this router reads the tables itself, and after
 /// other failures of a link or the listener.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// Table number of messages that concern no table.
 const NO_TABLE: u32 = u32::MAX;
-/// Size of rows at which a message is sent, so that it stays well below the largest frame.
-const MESSAGE_TARGET_BYTES: usize = 64 * 1024;
 
 /// The relayed tables; the index of each is its number on the wire.
 pub type Mirrors = Arc<[Arc<Mirror>]>;
 
+/// This router's part of the relay, shared by its links.
+struct Relay {
+    state: Arc<State>,
+    settings: RelaySettings,
+    mirrors: Mirrors,
+    encoder: RowEncoder,
+    tree: Mutex<RelayTree>,
+}
+
+impl Relay {
+    fn is_seed(&self) -> bool {
+        self.settings.seeds.contains(&self.settings.listen)
+    }
+
+    async fn dial(
+        &self,
+        address: SocketAddr,
+    ) -> std::result::Result<(FrameWriter, FrameReader), LinkError> {
+        let stream = connect(address, CONNECT_TIMEOUT).await?;
+        let _ = stream.set_nodelay(true);
+        handshake(stream, &self.settings.key, Side::Dialer).await
+    }
+
+    /// First message on a link that this router opens.
+    fn introduction(&self, is_insisting: bool) -> Message {
+        let known = self.mirrors.iter().enumerate();
+        let known = known.filter_map(|(table, mirror)| {
+            Some(KnownTable {
+                table: table as u32,
+                position: mirror.position()?.0,
+            })
+        });
+        Message {
+            table: NO_TABLE,
+            is_seed: self.is_seed(),
+            introduction: Some(Introduction {
+                address: self.settings.listen.to_string(),
+                zone: self.state.settings().zone.as_str().to_owned(),
+                degree: self.settings.degree as u32,
+                is_insisting,
+                known: known.collect(),
+            }),
+            ..Message::default()
+        }
+    }
+}
+
 /// Binds the relay's listener and starts its tasks: every router serves subscribers, seeds report
-/// counts to the other seeds, and all other routers subscribe to a seed.
+/// counts to the other seeds, and all other routers subscribe.
 pub fn spawn(state: &Arc<State>, mirrors: &Mirrors, stop: &Shutdown) -> Result<()> {
     let Some(settings) = state.settings().relay.clone() else {
         return Ok(());
@@ -58,38 +104,33 @@
     let listener = std::net::TcpListener::bind(address)
         .and_then(smol::Async::new)
         .map_err(|source| Error::Listen { address, source })?;
-    let server = Arc::new(RelayServer {
+    let zone = state.settings().zone.clone();
+    let relay = Arc::new(Relay {
         state: Arc::clone(state),
+        tree: Mutex::new(RelayTree::new(address, zone, settings.degree)),
         mirrors: Arc::clone(mirrors),
         encoder: RowEncoder::default(),
+        settings,
     });
-    let accept = accept_loop(server, listener.into(), stop.clone());
-    state.runtime.spawn_detached(accept);
-    if settings.seeds.contains(&settings.listen) {
-        for seed in settings
-            .seeds
-            .iter()
-            .filter(|seed| **seed != settings.listen)
-        {
-            state
-                .runtime
-                .spawn_detached(report_counts_to_seed(Arc::clone(state), *seed));
+    let runtime = &state.runtime;
+    runtime.spawn_detached(accept_loop(
+        Arc::clone(&relay),
+        listener.into(),
+        stop.clone(),
+    ));
+    match relay.is_seed() {
+        true => {
+            let seeds = relay.settings.seeds.iter();
+            for seed in seeds.filter(|seed| **seed != address) {
+                runtime.spawn_detached(report_counts_to_seed(Arc::clone(&relay), *seed));
+            }
         }
+        false => runtime.spawn_detached(subscribe::subscribe_loop(relay)),
     }
-    state
-        .runtime
-        .spawn_detached(subscribe_loop(Arc::clone(state), Arc::clone(mirrors)));
     Ok(())
 }
 
-/// What the relay serves to subscribers.
-struct RelayServer {
-    state: Arc<State>,
-    mirrors: Mirrors,
-    encoder: RowEncoder,
-}
-
-async fn accept_loop(server: Arc<RelayServer>, listener: TcpListener, stop: Shutdown) {
+async fn accept_loop(relay: Arc<Relay>, listener: TcpListener, stop: Shutdown) {
     loop {
         let accepted = async { Some(listener.accept().await) }
             .or(async {
@@ -100,9 +141,9 @@
         match accepted {
             None => return,
             Some(Ok((stream, _))) => {
-                let (server, stop) = (Arc::clone(&server), stop.clone());
-                server.state.runtime.clone().spawn_detached(async move {
-                    let served = serve_subscriber(&server, stream).or(async {
+                let (relay, stop) = (Arc::clone(&relay), stop.clone());
+                relay.state.runtime.clone().spawn_detached(async move {
+                    let served = serve_link(&relay, stream).or(async {
                         stop.wait().await;
                         Err(LinkError::Closed)
                     });
@@ -119,264 +160,82 @@
     }
 }
 
-fn relay_key(state: &State) -> String {
-    let settings = state.settings();
-    settings
-        .relay
-        .as_ref()
-        .map_or_else(String::new, |relay| relay.key.clone())
-}
-
-/// Receives the counts of one subscriber and publishes updates to it, until the link ends. Nothing
-/// is sent to another seed: it reads the tables itself, and receives this router's counts over a
-/// separate link.
-async fn serve_subscriber(
-    server: &RelayServer,
-    stream: TcpStream,
-) -> std::result::Result<(), LinkError> {
-    let state = &server.state;
+/// Serves a link that another router opened, until it ends. Nothing is sent to another seed: it
+/// reads the tables itself, and receives this router's counts over a separate link.
+async fn serve_link(relay: &Relay, stream: TcpStream) -> std::result::Result<(), LinkError> {
     let _ = stream.set_nodelay(true);
-    let (mut writer, mut reader) = handshake(stream, &relay_key(state), Side::Acceptor).await?;
-    // Receiving the first message proves that the subscriber has the key.
-    let (introduction, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
-    let scope = match introduction.is_seed {
-        true => Scope::Group,
-        false => Scope::Own,
-    };
-    let link = CountLink::open(state, scope);
-    let receive = receive_counts(&mut reader, &link);
-    match scope {
-        Scope::Group => receive.await,
-        _ => receive.or(publish_to_subscriber(server, &mut writer)).await,
-    }
-}
-
-/// Publishes updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
-async fn publish_to_subscriber(
-    server: &RelayServer,
-    writer: &mut FrameWriter,
-) -> std::result::Result<(), LinkError> {
-    let state = &server.state;
-    let updates: Vec<_> = server
-        .mirrors
-        .iter()
-        .map(|mirror| mirror.subscribe())
-        .collect();
-    let mut sent_counts = Counts::new();
-    let mut tick = smol::Timer::after(COUNTS_PERIOD);
-    loop {
-        let next = updates.iter().map(|updates| Box::pin(updates.recv()));
-        let next = async { Some(select_all(next).await) };
-        let counts_due = async {
-            (&mut tick).await;
-            None
-        };
-        let sent = match next.or(counts_due).await {
-            Some((update, table, _)) => {
-                let update = update.map_err(|_| LinkError::Closed)?;
-                with_timeout(
-                    SILENCE_TIMEOUT,
-                    send_update(writer, &server.encoder, table as u32, update),
-                )
-                .await
-            }
-            None => {
-                tick = smol::Timer::after(COUNTS_PERIOD);
-                let own = state.own_counts();
-                let mut all = state.fleet_counts.lock().others(&own);
-                for (server_number, count) in own {
-                    *all.entry(server_number).or_default() += count;
-                }
-                let routers = state.fleet_counts.lock().router_count();
-                with_timeout(
-                    SILENCE_TIMEOUT,
-                    send_counts(writer, &mut sent_counts, &all, routers),
-                )
-                .await
-            }
-        };
-        sent.ok_or(LinkError::TimedOut)??;
-    }
-}
-
-/// Reports the counts of this seed's group to another seed, and reconnects when the link ends.
-async fn report_counts_to_seed(state: Arc<State>, seed: SocketAddr) {
-    loop {
-        let link = async {
-            let stream = connect(seed, CONNECT_TIMEOUT).await?;
-            let (mut writer, _reader) = handshake(stream, &relay_key(&state), Side::Dialer).await?;
-            let introduction = Message {
-                table: NO_TABLE,
-                is_seed: true,
-                ..Message::default()
-            };
-            writer.send(&introduction).await?;
-            report_counts(&state, &mut writer, true).await
-        };
-        let ended: std::result::Result<(), LinkError> = link.await;
-        if let Err(error) = ended {
-            log::debug!("event=seed_link_lost seed={seed} error=\"{error}\"");
+    let (mut writer, mut reader) = handshake(stream, &relay.settings.key, Side::Acceptor).await?;
+    // Receiving the first message proves that the other router has the key.
+    let (first, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
+    let subscriber = decode_subscriber(first.introduction.as_ref())?;
+    if first.is_seed {
+        let link = CountLink::open(relay, Scope::Group);
+        if let Some(address) = subscriber.address {
+            let mut tree = relay.tree.lock();
+            tree.add_seed(link.id, address, subscriber.zone);
         }
-        smol::Timer::after(RETRY_PAUSE).await;
+        return receive_counts(&mut reader, &link).await;
     }
-}
-
-async fn send_update(
-    writer: &mut FrameWriter,
-    encoder: &RowEncoder,
-    table: u32,
-    update: Update,
-) -> std::result::Result<(), LinkError> {
-    let (rows, is_snapshot) = match update {
-        Update::Unavailable => {
-            let message = Message {
-                table,
-                is_unavailable: true,
-                ..Message::default()
-            };
-            writer.send(&message).await?;
-            return Ok(());
+    let admission = relay.tree.lock().admit(&subscriber, rand::random());
+    let redirects = match admission {
+        Admission::Accept => {
+            let link = CountLink::open(relay, Scope::Subtree);
+            relay.tree.lock().add_child(link.id, subscriber);
+            let publish = publish_to_subscriber(relay, &mut writer, first.introduction.as_ref());
+            return receive_counts(&mut reader, &link).or(publish).await;
         }
-        Update::Snapshot(rows) => (rows, true),
-        Update::Changed(rows) => (rows, false),
+        Admission::Redirect(redirects) => redirects,
+        Admission::Refuse => Vec::new(),
     };
-    let mut message = Message {
-        table,
-        position: rows.position.0,
-        is_snapshot,
+    let message = Message {
+        table: NO_TABLE,
+        admission: Some(wire::Admission {
+            path: Vec::new(),
+            redirects: redirects.iter().map(SocketAddr::to_string).collect(),
+        }),
         ..Message::default()
     };
-    let mut bytes = 0;
-    for chunk in rows.rows.iter().flat_map(|row| encoder.encode(row)) {
-        if bytes >= MESSAGE_TARGET_BYTES {
-            message.has_more = true;
-            writer.send(&message).await?;
-            message.rows.clear();
-            bytes = 0;
-        }
-        bytes += chunk.encoded_len();
-        message.rows.push(chunk);
-    }
-    message.has_more = false;
     writer.send(&message).await?;
+    // The subscriber closes the link once it has read the message.
+    let _ = reader.receive::<Message>(SILENCE_TIMEOUT).await;
     Ok(())
 }
 
-/// Subscribes to one seed after the other, and pauses after each round of failures.
-async fn subscribe_loop(state: Arc<State>, mirrors: Mirrors) {
-    loop {
-        let settings = state.settings();
-        for seed in subscription_seeds(settings.relay.as_ref()) {
-            let ended = subscribe(&state, seed, &mirrors).await;
-            let was_relayed = mirrors.iter().any(|mirror| mirror.is_relayed());
-            mirrors.iter().for_each(|mirror| mirror.set_relayed(false));
-            match (ended, was_relayed) {
-                (Err(error), true) => {
-                    log::info!("event=relay_lost seed={seed} error=\"{error}\"");
-                }
-                (Err(error), false) => {
-                    log::debug!("event=relay_failed seed={seed} error=\"{error}\"")
-                }
-                (Ok(()), true) => log::info!("event=relay_ended seed={seed} reason=source_lost"),
-                (Ok(()), false) => log::debug!("event=relay_lost_source seed={seed}"),
-            }
-        }
-        smol::Timer::after(RETRY_PAUSE).await;
-    }
-}
-
-/// The seeds to subscribe to, in random order so that subscribers are spread over them; empty for a
-/// router that is a seed itself.
-fn subscription_seeds(settings: Option<&RelaySettings>) -> Vec<SocketAddr> {
-    let Some(settings) = settings else {
-        return Vec::new();
-    };
-    if settings.seeds.contains(&settings.listen) {
-        return Vec::new();
-    }
-    let mut seeds = settings.seeds.clone();
-    seeds.shuffle(&mut rand::rng());
-    seeds
-}
-
-/// Subscribes to a seed until the link fails, or until the seed cannot reach the tables itself.
-async fn subscribe(
-    state: &State,
-    seed: SocketAddr,
-    mirrors: &Mirrors,
-) -> std::result::Result<(), LinkError> {
-    let stream = connect(seed, CONNECT_TIMEOUT).await?;
-    let (mut writer, mut reader) = handshake(stream, &relay_key(state), Side::Dialer).await?;
-    let introduction = Message {
-        table: NO_TABLE,
-        ..Message::default()
+/// Decodes an introduction; a router of an older version sends none.
+fn decode_subscriber(
+    introduction: Option<&Introduction>,
+) -> std::result::Result<Subscriber, LinkError> {
+    let Some(introduction) = introduction else {
+        return Ok(Subscriber {
+            address: None,
+            zone: ZoneId::from(""),
+            degree: 0,
+            is_insisting: true,
+        });
     };
-    writer.send(&introduction).await?;
-    let link = CountLink::open(state, Scope::Fleet);
-    let report = report_counts(state, &mut writer, false);
-    receive_updates(&mut reader, seed, mirrors, &link)
-        .or(report)
-        .await
+    let address = introduction.address.parse();
+    let address =
+        address.map_err(|_| LinkError::Protocol("the introduction has no valid address"))?;
+    Ok(Subscriber {
+        address: Some(address),
+        zone: ZoneId::from(introduction.zone.as_str()),
+        degree: introduction.degree as usize,
+        is_insisting: introduction.is_insisting,
+    })
 }
 
-/// Applies a seed's updates until the link fails, or until the seed cannot reach the tables and has
-/// sent an update of each.
-async fn receive_updates(
-    reader: &mut FrameReader,
-    seed: SocketAddr,
-    mirrors: &Mirrors,
-    link: &CountLink<'_>,
-) -> std::result::Result<(), LinkError> {
-    let mut has_received = vec![false; mirrors.len()];
-    let mut is_unavailable = false;
-    let mut pending_rows: Vec<Vec<Row>> = vec![Vec::new(); mirrors.len()];
-    let mut decoder = RowDecoder::default();
+/// Reports the counts of this seed's subtree to another seed, and reconnects when the link ends.
+async fn report_counts_to_seed(relay: Arc<Relay>, seed: SocketAddr) {
     loop {
-        let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
-        if message.table == NO_TABLE {
-            link.apply(&message);
-            continue;
-        }
-        let table = message.table as usize;
-        let Some(mirror) = mirrors.get(table) else {
-            return Err(LinkError::Protocol("the table number is unknown"));
-        };
-        if message.is_unavailable {
-            mirror.mark_unavailable();
-            is_unavailable = true;
-            has_received[table] = true;
-        }
-        // A seed that cannot reach the tables may still have content that this router has never
-        // read, so an update of each table is received before the link is closed.
-        if message.is_unavailable && has_received.iter().all(|received| *received) {
-            return Ok(());
-        }
-        if message.is_unavailable {
-            continue;
-        }
-        let rows = &mut pending_rows[table];
-        for chunk in message.rows {
-            rows.extend(decoder.decode(chunk)?);
-        }
-        if message.has_more {
-            continue;
-        }
-        let rows = Rows {
-            rows: std::mem::take(rows),
-            position: Position(message.position),
+        let link = async {
+            let (mut writer, _reader) = relay.dial(seed).await?;
+            writer.send(&relay.introduction(false)).await?;
+            report_counts(&relay, &mut writer).await
         };
-        match message.is_snapshot {
-            true => mirror.replace(rows, Origin::Relay),
-            false => mirror.apply(rows, Origin::Relay),
-        }
-        has_received[table] = true;
-        if is_unavailable && has_received.iter().all(|received| *received) {
-            return Ok(());
-        }
-        if has_received.iter().all(|received| *received) && !mirrors.iter().all(|m| m.is_relayed())
-        {
-            log::info!("event=relayed seed={seed}");
-            mirrors.iter().for_each(|mirror| mirror.set_relayed(true));
+        let ended: std::result::Result<(), LinkError> = link.await;
+        if let Err(error) = ended {
+            log::debug!("event=seed_link_lost seed={seed} error=\"{error}\"");
         }
+        smol::Timer::after(RETRY_PAUSE).await;
     }
 }
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -4,8 +4,7 @@
 
 use crate::decide::fleet_counts::{Counts, Scope, next_changes};
 use crate::gateway::relay::wire::{Count, Message};
-use crate::gateway::relay::{NO_TABLE, SILENCE_TIMEOUT};
-use crate::gateway::state::State;
+use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError};
 use crate::runtime::with_timeout;
 
@@ -17,88 +16,74 @@
 /// the 13 KB/s that a router may use for control traffic.
 const COUNTS_PER_MESSAGE_MAX: usize = 150;
 
-/// A link over which counts are received; dropping it removes its counts.
+/// A link over which counts are received; dropping it removes its counts and its place in the tree.
 pub(super) struct CountLink<'a> {
-    state: &'a State,
-    id: u64,
+    relay: &'a Relay,
+    /// Number of the link.
+    pub(super) id: u64,
 }
 
 impl<'a> CountLink<'a> {
-    pub(super) fn open(state: &'a State, scope: Scope) -> Self {
-        let id = state.fleet_counts.lock().open_link(scope);
-        Self { state, id }
+    pub(super) fn open(relay: &'a Relay, scope: Scope) -> Self {
+        let id = relay.state.fleet_counts.lock().open_link(scope);
+        Self { relay, id }
     }
 
     pub(super) fn apply(&self, message: &Message) {
+        let state = &self.relay.state;
         if message.routers > 0 {
-            self.state.record_router_count(self.id, message.routers);
+            state.record_router_count(self.id, message.routers);
+            self.relay.tree.lock().set_subtree(self.id, message.routers);
         }
         let counts = message
             .counts
             .iter()
             .map(|count| (count.server, count.requests));
-        self.state.fleet_counts.lock().apply(self.id, counts);
-        self.state.apply_counts();
+        state.fleet_counts.lock().apply(self.id, counts);
+        state.apply_counts();
     }
 }
 
 impl Drop for CountLink<'_> {
     fn drop(&mut self) {
-        self.state.fleet_counts.lock().close_link(self.id);
-        self.state.apply_counts();
+        self.relay.tree.lock().remove_link(self.id);
+        self.relay.state.fleet_counts.lock().close_link(self.id);
+        self.relay.state.apply_counts();
     }
 }
 
 pub(super) async fn receive_counts(
     reader: &mut FrameReader,
     link: &CountLink<'_>,
-) -> std::result::Result<(), LinkError> {
+) -> Result<(), LinkError> {
     loop {
         let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
         link.apply(&message);
     }
 }
 
-/// Sends the counts that changed; without changes, an empty message as a keep-alive.
-pub(super) async fn send_counts(
-    writer: &mut FrameWriter,
-    sent_counts: &mut Counts,
-    current: &Counts,
-    routers: u32,
-) -> std::result::Result<(), LinkError> {
+/// Builds a message with the counts that changed; without changes it serves as a keep-alive.
+pub(super) fn counts_message(sent_counts: &mut Counts, current: &Counts, routers: u32) -> Message {
     let counts = next_changes(sent_counts, current, COUNTS_PER_MESSAGE_MAX).into_iter();
     let counts = counts.map(|(server, requests)| Count { server, requests });
-    let message = Message {
+    Message {
         table: NO_TABLE,
         counts: counts.collect(),
         routers,
         ..Message::default()
-    };
-    writer.send(&message).await?;
-    Ok(())
+    }
 }
 
-/// Reports the counts of this router, or of a seed's group, to a seed until the link ends.
+/// Reports the counts of this router and of those below it, until the link ends.
 pub(super) async fn report_counts(
-    state: &State,
+    relay: &Relay,
     writer: &mut FrameWriter,
-    is_seed: bool,
-) -> std::result::Result<(), LinkError> {
+) -> Result<(), LinkError> {
     let mut sent_counts = Counts::new();
     loop {
-        let own = state.own_counts();
-        let (current, routers) = match is_seed {
-            true => {
-                let fleet = state.fleet_counts.lock();
-                (fleet.group_counts(&own), fleet.group_router_count())
-            }
-            false => (own, 1),
-        };
-        let sent = with_timeout(
-            SILENCE_TIMEOUT,
-            send_counts(writer, &mut sent_counts, &current, routers),
-        )
-        .await;
+        let totals = relay.state.fleet_totals();
+        let message = counts_message(&mut sent_counts, &totals.subtree, totals.subtree_routers);
+        let sent = with_timeout(SILENCE_TIMEOUT, writer.send(&message)).await;
         sent.ok_or(LinkError::TimedOut)??;
         smol::Timer::after(COUNTS_PERIOD).await;
     }
--- /dev/null
+++ b/src/gateway/relay/publish.rs
@@ -0,0 +1,145 @@
+//! Updates that a router sends to one subscriber.
+
+use std::net::SocketAddr;
+
+use futures_lite::FutureExt;
+use futures_util::future::select_all;
+use prost::Message as _;
+
+use crate::decide::fleet_counts::Counts;
+use crate::gateway::mirror::Update;
+use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
+use crate::gateway::relay::wire::{self, Introduction, Message};
+use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
+use crate::gateway::watch::Position;
+use crate::peer::frame::{FrameWriter, LinkError};
+use crate::runtime::with_timeout;
+
+/// Size of rows at which a message is sent, so that it stays well below the largest frame.
+const MESSAGE_TARGET_BYTES: usize = 64 * 1024;
+
+/// Publishes updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
+pub(super) async fn publish_to_subscriber(
+    relay: &Relay,
+    writer: &mut FrameWriter,
+    introduction: Option<&Introduction>,
+) -> Result<(), LinkError> {
+    let known = |table: usize| {
+        let mut known = introduction.iter().flat_map(|i| &i.known);
+        let known = known.find(|known| known.table as usize == table);
+        known.map(|known| Position(known.position))
+    };
+    let mirrors = relay.mirrors.iter().enumerate();
+    let updates: Vec<_> = mirrors
+        .map(|(table, mirror)| mirror.subscribe(known(table)))
+        .collect();
+    let is_packing = introduction.is_some();
+    let mut sent_path = Vec::new();
+    send_path(relay, writer, &mut sent_path).await?;
+    let mut sent_counts = Counts::new();
+    let mut tick = smol::Timer::after(COUNTS_PERIOD);
+    loop {
+        let next = updates.iter().map(|updates| Box::pin(updates.recv()));
+        let next = async { Some(select_all(next).await) };
+        let counts_due = async {
+            (&mut tick).await;
+            None
+        };
+        let send = async {
+            match next.or(counts_due).await {
+                Some((update, table, _)) => {
+                    let update = update.map_err(|_| LinkError::Closed)?;
+                    for message in encode_update(relay, table as u32, &update, is_packing) {
+                        send_in_time(writer, &message).await?;
+                    }
+                    Ok(false)
+                }
+                None => {
+                    send_path(relay, writer, &mut sent_path).await?;
+                    let totals = relay.state.fleet_totals();
+                    let message = counts_message(&mut sent_counts, &totals.all, totals.routers);
+                    send_in_time(writer, &message).await?;
+                    Ok::<_, LinkError>(true)
+                }
+            }
+        };
+        let was_tick = send.await?;
+        if was_tick {
+            tick = smol::Timer::after(COUNTS_PERIOD);
+        }
+    }
+}
+
+async fn send_in_time(writer: &mut FrameWriter, message: &Message) -> Result<(), LinkError> {
+    let sent = with_timeout(SILENCE_TIMEOUT, writer.send(message)).await;
+    sent.ok_or(LinkError::TimedOut)??;
+    Ok(())
+}
+
+/// Sends the path from the router that reads the tables to this one, if it has changed.
+async fn send_path(
+    relay: &Relay,
+    writer: &mut FrameWriter,
+    sent_path: &mut Vec<SocketAddr>,
+) -> Result<(), LinkError> {
+    let path = relay.tree.lock().path();
+    if path == *sent_path {
+        return Ok(());
+    }
+    let admission = wire::Admission {
+        path: path.iter().map(SocketAddr::to_string).collect(),
+        redirects: Vec::new(),
+    };
+    let message = Message {
+        table: NO_TABLE,
+        admission: Some(admission),
+        ..Message::default()
+    };
+    *sent_path = path;
+    send_in_time(writer, &message).await
+}
+
+/// Encodes an update as one or more messages.
+fn encode_update(relay: &Relay, table: u32, update: &Update, is_packing: bool) -> Vec<Message> {
+    let (rows, is_snapshot) = match update {
+        Update::Unavailable => {
+            return vec![Message {
+                table,
+                is_unavailable: true,
+                ..Message::default()
+            }];
+        }
+        Update::Snapshot(rows) => (rows, true),
+        Update::Changed(rows) => (rows, false),
+    };
+    let empty = Message {
+        table,
+        position: rows.position.0,
+        is_snapshot,
+        ..Message::default()
+    };
+    let mut messages = Vec::new();
+    if is_packing && let Some(batches) = relay.encoder.pack(rows) {
+        messages.extend(batches.iter().map(|packed_rows| Message {
+            packed_rows: packed_rows.clone(),
+            ..empty.clone()
+        }));
+    } else {
+        let mut bytes = 0;
+        let mut message = empty.clone();
+        for chunk in rows.rows.iter().flat_map(|row| relay.encoder.encode(row)) {
+            if bytes >= MESSAGE_TARGET_BYTES {
+                messages.push(std::mem::replace(&mut message, empty.clone()));
+                bytes = 0;
+            }
+            bytes += chunk.encoded_len();
+            message.rows.push(chunk);
+        }
+        messages.push(message);
+    }
+    let last = messages.len().saturating_sub(1);
+    for message in &mut messages[..last] {
+        message.has_more = true;
+    }
+    messages
+}
--- a/src/gateway/relay/row_codec.rs
+++ b/src/gateway/relay/row_codec.rs
@@ -8,6 +8,7 @@
 mod tests;
 
 use std::io::{Read, Write};
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use flate2::Compression;
@@ -15,8 +16,10 @@
 use flate2::write::DeflateEncoder;
 use parking_lot::Mutex;
 
+use prost::Message as _;
+
 use crate::gateway::relay::wire;
-use crate::gateway::watch::Row;
+use crate::gateway::watch::{Row, Rows};
 use crate::peer::frame::LinkError;
 
 /// Minimum length of a deflated content; for shorter ones the savings do not pay for the work.
@@ -26,11 +29,27 @@
 /// Maximum length of an accepted content, many times the largest known configuration.
 const CONTENT_MAX_BYTES: u64 = 16 << 20;
 
-/// Encodes rows; deflates a content once for all subscribers.
+/// Maximum length of a deflated batch: half of the largest frame.
+const BATCH_MAX_BYTES: usize = 128 * 1024;
+/// Minimum number of rows that are packed: the entries of servers resemble each other and shrink to a
+/// sixth, which pays from a few on.
+const PACK_MIN_ROWS: usize = 8;
+/// Size of rows from which a batch is closed, before it is deflated.
+const BATCH_TARGET_BYTES: usize = 512 * 1024;
+
+/// Encodes rows; deflates contents and batches once for all subscribers.
 #[derive(Debug, Default)]
 pub struct RowEncoder {
     /// The content deflated last, and its deflated form.
     last: Mutex<Option<(Bytes, Bytes)>>,
+    /// The rows packed last, and their batches.
+    last_packed: Mutex<Option<Packed>>,
+}
+
+#[derive(Debug)]
+struct Packed {
+    rows: Arc<Rows>,
+    batches: Arc<[Bytes]>,
 }
 
 impl RowEncoder {
@@ -63,6 +82,48 @@
         chunks.collect()
     }
 
+    /// Encodes the rows of an update as deflated batches; `None` if there are few, or a row or a
+    /// batch is too large for a frame, so that they are sent one by one.
+    pub fn pack(&self, rows: &Arc<Rows>) -> Option<Arc<[Bytes]>> {
+        let is_small = |row: &Row| row.content.as_ref().is_none_or(|c| c.len() < CHUNK_BYTES);
+        if rows.rows.len() < PACK_MIN_ROWS || !rows.rows.iter().all(is_small) {
+            return None;
+        }
+        let mut last = self.last_packed.lock();
+        // Snapshots for subscribers that come at the same moment are equal.
+        let is_same = |known: &&Packed| Arc::ptr_eq(&known.rows, rows) || known.rows == *rows;
+        if let Some(known) = last.as_ref().filter(is_same) {
+            return Some(Arc::clone(&known.batches));
+        }
+        let mut batches = Vec::new();
+        let mut batch = wire::RowBatch::default();
+        let mut bytes = 0;
+        for row in &rows.rows {
+            bytes += row.key.len() + row.content.as_ref().map_or(0, Bytes::len);
+            batch.rows.push(wire::Row {
+                key: row.key.clone(),
+                content: row.content.clone(),
+                ..wire::Row::default()
+            });
+            if bytes >= BATCH_TARGET_BYTES {
+                batches.push(deflate_bytes(&std::mem::take(&mut batch).encode_to_vec())?);
+                bytes = 0;
+            }
+        }
+        if !batch.rows.is_empty() {
+            batches.push(deflate_bytes(&batch.encode_to_vec())?);
+        }
+        if batches.iter().any(|batch| batch.len() > BATCH_MAX_BYTES) {
+            return None;
+        }
+        let batches: Arc<[Bytes]> = batches.into();
+        *last = Some(Packed {
+            rows: Arc::clone(rows),
+            batches: Arc::clone(&batches),
+        });
+        Some(batches)
+    }
+
     /// Deflates a content; `None` if that fails, so that it is sent uncompressed.
     fn deflate(&self, content: &Bytes) -> Option<Bytes> {
         let mut last = self.last.lock();
@@ -71,23 +132,26 @@
         if let Some((_, deflated)) = last.as_ref().filter(|(known, _)| is_same(known)) {
             return Some(deflated.clone());
         }
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        let finished = encoder.write_all(content).and_then(|()| encoder.finish());
-        let deflated = match finished {
-            Ok(deflated) => Bytes::from(deflated),
-            Err(error) => {
-                log::error!(
-                    "event=deflate_failed bytes={} error=\"{error}\"",
-                    content.len()
-                );
-                return None;
-            }
-        };
+        let deflated = deflate_bytes(content)?;
         *last = Some((content.clone(), deflated.clone()));
         Some(deflated)
     }
 }
 
+fn deflate_bytes(bytes: &[u8]) -> Option<Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    match encoder.write_all(bytes).and_then(|()| encoder.finish()) {
+        Ok(deflated) => Some(Bytes::from(deflated)),
+        Err(error) => {
+            log::error!(
+                "event=deflate_failed bytes={} error=\"{error}\"",
+                bytes.len()
+            );
+            None
+        }
+    }
+}
+
 /// Joins chunks into rows.
 #[derive(Debug, Default)]
 pub struct RowDecoder {
@@ -95,6 +159,19 @@
 }
 
 impl RowDecoder {
+    /// Decodes a deflated batch; empty bytes have no rows.
+    pub fn unpack(&mut self, packed: &Bytes) -> Result<Vec<Row>, LinkError> {
+        if packed.is_empty() {
+            return Ok(Vec::new());
+        }
+        let batch = wire::RowBatch::decode(inflate(packed)?)?;
+        let rows = batch.rows.into_iter().map(|row| Row {
+            key: row.key,
+            content: row.content,
+        });
+        Ok(rows.collect())
+    }
+
     /// Decodes a chunk; returns the row if the chunk completes one.
     pub fn decode(&mut self, chunk: wire::Row) -> Result<Option<Row>, LinkError> {
         let Some(content) = chunk.content else {
--- /dev/null
+++ b/src/gateway/relay/subscribe.rs
@@ -0,0 +1,203 @@
+//! Subscription to another router, and the search for one that accepts this router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_lite::FutureExt;
+use rand::seq::SliceRandom;
+
+use crate::decide::fleet_counts::Scope;
+use crate::gateway::mirror::Origin;
+use crate::gateway::relay::counts::{CountLink, report_counts};
+use crate::gateway::relay::row_codec::RowDecoder;
+use crate::gateway::relay::wire::{Admission, Message};
+use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT};
+use crate::gateway::watch::{Position, Row, Rows};
+use crate::peer::frame::{FrameReader, LinkError};
+
+/// Maximum number of routers that are asked below one seed, which bounds the time of a search.
+const SEARCH_MAX: usize = 8;
+
+/// How a subscription ended without a failure of the link.
+enum Ended {
+    /// The router did not accept this one; these may.
+    Redirected(Vec<SocketAddr>),
+    /// The router, or the one that relays to it, cannot reach the tables.
+    SourceLost,
+}
+
+/// Subscribes below one seed after the other, and pauses after each round of failures.
+pub(super) async fn subscribe_loop(relay: Arc<Relay>) {
+    loop {
+        let mut seeds = relay.settings.seeds.clone();
+        seeds.shuffle(&mut rand::rng());
+        for seed in seeds {
+            search_below(&relay, seed).await;
+        }
+        smol::Timer::after(RETRY_PAUSE).await;
+    }
+}
+
+/// Asks a seed and the routers to which it redirects, until one relays the tables and its link has
+/// ended, or all have refused; then insists at the seed.
+async fn search_below(relay: &Relay, seed: SocketAddr) {
+    let mut candidates = vec![seed];
+    let mut asked = vec![relay.settings.listen];
+    let mut is_redirected = false;
+    while let Some(address) = candidates.pop() {
+        if asked.contains(&address) || asked.len() > SEARCH_MAX {
+            continue;
+        }
+        asked.push(address);
+        match subscribe(relay, address, false).await {
+            Some(Ended::Redirected(redirects)) => {
+                is_redirected |= address == seed;
+                candidates.extend(redirects.into_iter().rev());
+            }
+            Some(Ended::SourceLost) => return,
+            None => {}
+        }
+    }
+    if is_redirected {
+        subscribe(relay, seed, true).await;
+    }
+}
+
+/// Subscribes to a router and waits until the link ends; `None` if it failed.
+async fn subscribe(relay: &Relay, address: SocketAddr, is_insisting: bool) -> Option<Ended> {
+    let ended = run_subscription(relay, address, is_insisting).await;
+    let was_relayed = relay.mirrors.iter().any(|mirror| mirror.is_relayed());
+    relay
+        .mirrors
+        .iter()
+        .for_each(|mirror| mirror.set_relayed(false));
+    relay.tree.lock().clear_parents();
+    match (&ended, was_relayed) {
+        (Err(error), true) => log::info!("event=relay_lost seed={address} error=\"{error}\""),
+        (Err(error), false) => log::debug!("event=relay_failed seed={address} error=\"{error}\""),
+        (Ok(Ended::SourceLost), true) => {
+            log::info!("event=relay_ended seed={address} reason=source_lost");
+        }
+        (Ok(Ended::SourceLost), false) => log::debug!("event=relay_lost_source seed={address}"),
+        (Ok(Ended::Redirected(redirects)), _) => log::debug!(
+            "event=relay_redirected seed={address} routers={}",
+            redirects.len()
+        ),
+    }
+    match ended {
+        // A link that has relayed and failed is followed by a new search.
+        Err(_) if was_relayed => Some(Ended::SourceLost),
+        Err(_) => None,
+        Ok(ended) => Some(ended),
+    }
+}
+
+async fn run_subscription(
+    relay: &Relay,
+    address: SocketAddr,
+    is_insisting: bool,
+) -> Result<Ended, LinkError> {
+    let (mut writer, mut reader) = relay.dial(address).await?;
+    writer.send(&relay.introduction(is_insisting)).await?;
+    // A router of an older version states no path.
+    relay.tree.lock().set_parents(vec![address]);
+    let link = CountLink::open(relay, Scope::Fleet);
+    let report = async {
+        report_counts(relay, &mut writer)
+            .await
+            .map(|()| Ended::SourceLost)
+    };
+    receive_updates(relay, &mut reader, address, &link)
+        .or(report)
+        .await
+}
+
+/// Rows of one table received so far.
+#[derive(Default)]
+struct PendingTable {
+    rows: Vec<Row>,
+    has_received: bool,
+}
+
+/// Applies the updates of another router until the link fails, the router redirects this one, or it
+/// cannot reach the tables and has sent an update of each.
+async fn receive_updates(
+    relay: &Relay,
+    reader: &mut FrameReader,
+    address: SocketAddr,
+    link: &CountLink<'_>,
+) -> Result<Ended, LinkError> {
+    let mirrors = &relay.mirrors;
+    let mut tables: Vec<PendingTable> = mirrors.iter().map(|_| PendingTable::default()).collect();
+    let mut is_unavailable = false;
+    let mut decoder = RowDecoder::default();
+    loop {
+        let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
+        if let Some(admission) = &message.admission {
+            if let Some(ended) = apply_admission(relay, admission)? {
+                return Ok(ended);
+            }
+            continue;
+        }
+        if message.table == NO_TABLE {
+            link.apply(&message);
+            continue;
+        }
+        let table = message.table as usize;
+        let (Some(mirror), Some(pending)) = (mirrors.get(table), tables.get_mut(table)) else {
+            return Err(LinkError::Protocol("the table number is unknown"));
+        };
+        if message.is_unavailable {
+            mirror.mark_unavailable();
+            is_unavailable = true;
+            pending.has_received = true;
+        } else {
+            pending.rows.extend(decoder.unpack(&message.packed_rows)?);
+            for chunk in message.rows {
+                pending.rows.extend(decoder.decode(chunk)?);
+            }
+            if message.has_more {
+                continue;
+            }
+            let rows = Rows {
+                rows: std::mem::take(&mut pending.rows),
+                position: Position(message.position),
+            };
+            match message.is_snapshot {
+                true => mirror.replace(rows, Origin::Relay),
+                false => mirror.apply(rows, Origin::Relay),
+            }
+            pending.has_received = true;
+        }
+        if !tables.iter().all(|table| table.has_received) {
+            continue;
+        }
+        // A router that cannot reach the tables may still have content that this one has never
+        // read, so an update of each table is received before the link is closed.
+        if is_unavailable {
+            return Ok(Ended::SourceLost);
+        }
+        if !mirrors.iter().all(|mirror| mirror.is_relayed()) {
+            log::info!("event=relayed seed={address}");
+            mirrors.iter().for_each(|mirror| mirror.set_relayed(true));
+        }
+    }
+}
+
+/// Applies the response to the introduction, or a changed path; returns how the subscription ends
+/// if the router did not accept this one.
+fn apply_admission(relay: &Relay, admission: &Admission) -> Result<Option<Ended>, LinkError> {
+    let parse = |addresses: &[String]| -> Result<Vec<SocketAddr>, LinkError> {
+        let addresses = addresses.iter().map(|address| address.parse());
+        let addresses: Result<_, _> = addresses.collect();
+        addresses.map_err(|_| LinkError::Protocol("the admission has an invalid address"))
+    };
+    if admission.path.is_empty() {
+        return Ok(Some(Ended::Redirected(parse(&admission.redirects)?)));
+    }
+    let path = parse(&admission.path)?;
+    match relay.tree.lock().set_parents(path) {
+        true => Ok(None),
+        false => Err(LinkError::Protocol("the path leads through this router")),
+    }
+}
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -1,5 +1,5 @@
-//! Messages between a seed and its subscribers, or between two seeds. Fields may be added; their
-//! numbers are never reused.
+//! Messages between a router and its subscribers, or between two seeds. Fields may be added; their
+//! numbers are never reused, and routers of older versions ignore those that they do not know.
 
 use bytes::Bytes;
 
@@ -34,6 +34,68 @@
     /// Number of routers that the counts cover; 0 if the message has no counts.
     #[prost(uint32, tag = "9")]
     pub routers: u32,
+    /// In the first message of a subscriber or a seed: what it is. Routers of older versions send
+    /// none.
+    #[prost(message, optional, tag = "10")]
+    pub introduction: Option<Introduction>,
+    /// In the first message to a subscriber, and whenever the path changes.
+    #[prost(message, optional, tag = "11")]
+    pub admission: Option<Admission>,
+    /// A deflated [`RowBatch`], which is sent in place of `rows` to subscribers that introduced
+    /// themselves.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub packed_rows: Bytes,
+}
+
+/// A router that opens a link.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Introduction {
+    /// Address at which it accepts subscribers.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Maximum number of subscribers that it accepts from its zone.
+    #[prost(uint32, tag = "3")]
+    pub degree: u32,
+    /// Whether it was redirected before and no router accepted it.
+    #[prost(bool, tag = "4")]
+    pub is_insisting: bool,
+    /// Positions up to which it knows the tables; a table without an entry is not known.
+    #[prost(message, repeated, tag = "5")]
+    pub known: Vec<KnownTable>,
+}
+
+/// Position up to which a router knows a table.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KnownTable {
+    /// Number of the table.
+    #[prost(uint32, tag = "1")]
+    pub table: u32,
+    /// Position of its copy.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+}
+
+/// Response to a subscriber's introduction.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Admission {
+    /// Addresses of the routers from the one that reads the tables to the sender; empty if the
+    /// subscriber is not accepted.
+    #[prost(string, repeated, tag = "1")]
+    pub path: Vec<String>,
+    /// Routers to try instead.
+    #[prost(string, repeated, tag = "2")]
+    pub redirects: Vec<String>,
+}
+
+/// Rows that are deflated together.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RowBatch {
+    /// The rows.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<Row>,
 }
 
 /// Number of requests on one server.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -59,10 +59,26 @@
     /// Relay addresses of the seeds, which read the platform's tables; a router whose own address
     /// is among them is a seed.
     pub seeds: Vec<SocketAddr>,
+    /// Maximum number of subscribers from the own availability zone.
+    pub degree: usize,
     /// Shared key with which routers authenticate to each other.
     pub key: String,
 }
 
+/// Request counts of the fleet as known to this router at one point in time.
+#[derive(Debug, Clone, Default)]
+pub struct FleetTotals {
+    /// Requests of this router and of those below it in the relay tree.
+    pub subtree: Counts,
+    /// Number of routers in the subtree.
+    pub subtree_routers: u32,
+    /// Requests of all routers.
+    pub all: Counts,
+    /// Number of all routers, as far as known.
+    pub routers: u32,
+    as_of_ms: u64,
+}
+
 /// Shared state: settings, routes, servers, their load and health, and the retry budgets.
 pub struct State {
     settings: RwLock<Arc<GatewaySettings>>,
@@ -91,11 +107,23 @@
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
+    fleet_totals: Mutex<Option<Arc<FleetTotals>>>,
+    applied_counts: Mutex<AppliedCounts>,
     routers_known: AtomicU32,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
 }
 
+/// Counts of the other routers that the load estimates include.
+#[derive(Debug, Default)]
+struct AppliedCounts {
+    counts: Counts,
+    as_of_ms: Option<u64>,
+}
+
+/// Interval at which sums over all links are computed at most: a router with 32 links receives a
+/// message every 6 ms, and a sum over 3,000 servers takes a fifth of a millisecond.
+const TOTALS_REFRESH_MS: u64 = 50;
 /// Number of routers assumed until a link reports it; the largest known site has 87.
 const ROUTERS_DEFAULT: u32 = 100;
 /// Router id under which the requests of all other routers are counted in the load table.
@@ -133,6 +161,8 @@
             retry_windows: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
+            fleet_totals: Mutex::default(),
+            applied_counts: Mutex::default(),
             routers_known: AtomicU32::new(0),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
@@ -236,16 +266,50 @@
         counts.filter(|(_, count)| *count > 0).collect()
     }
 
-    /// Applies the request counts of the other routers to the load estimates.
+    /// Request counts of the fleet, computed anew if they are older than the refresh interval.
+    pub fn fleet_totals(&self) -> Arc<FleetTotals> {
+        let now_ms = self.now_ms();
+        let mut cached = self.fleet_totals.lock();
+        if let Some(totals) = cached.as_ref().filter(|t| !is_due(t.as_of_ms, now_ms)) {
+            return Arc::clone(totals);
+        }
+        let own = self.own_counts();
+        let fleet = self.fleet_counts.lock();
+        let mut all = fleet.others(&own);
+        for (server, count) in &own {
+            *all.entry(*server).or_default() += count;
+        }
+        let totals = Arc::new(FleetTotals {
+            subtree: fleet.subtree_counts(&own),
+            subtree_routers: fleet.subtree_router_count(),
+            all,
+            routers: fleet.router_count(),
+            as_of_ms: now_ms,
+        });
+        *cached = Some(Arc::clone(&totals));
+        totals
+    }
+
+    /// Applies the request counts of the other routers to the load estimates, unless they were
+    /// applied within the refresh interval; the next message on a link then applies them.
     pub fn apply_counts(&self) {
+        let now_ms = self.now_ms();
+        let mut applied = self.applied_counts.lock();
+        if applied.as_of_ms.is_some_and(|at_ms| !is_due(at_ms, now_ms)) {
+            return;
+        }
+        applied.as_of_ms = Some(now_ms);
         let own = self.own_counts();
         let others = self.fleet_counts.lock().others(&own);
         let all = RouterId::from(OTHER_ROUTERS);
         let registry = self.registry.lock();
         for server in registry.all() {
-            let count = others.get(&server_hash(&server.id)).copied();
-            self.load
-                .set_peer_requests(&all, &server.id, count.unwrap_or(0));
+            let number = server_hash(&server.id);
+            let count = others.get(&number).copied().unwrap_or(0);
+            let known = applied.counts.insert(number, count);
+            if known != Some(count) {
+                self.load.set_peer_requests(&all, &server.id, count);
+            }
         }
     }
 
@@ -346,6 +410,11 @@
     }
 }
 
+/// Whether a value of `as_of_ms` is as old as the refresh interval.
+fn is_due(as_of_ms: u64, now_ms: u64) -> bool {
+    now_ms.saturating_sub(as_of_ms) >= TOTALS_REFRESH_MS
+}
+
 /// Guard of one request in flight; dropping it ends the count.
 pub struct InFlightGuard(Arc<State>);
 
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -40,10 +40,11 @@
 }
 
 impl TableHandler for RoutingHandler {
-    fn replace(&self, rows: &[Row]) {
+    fn replace(&self, rows: &[Row]) -> Vec<String> {
         for row in rows {
             self.apply(row);
         }
+        rows.iter().map(|row| row.key.clone()).collect()
     }
 
     fn apply(&self, row: &Row) -> Propagation {
@@ -102,7 +103,7 @@
 }
 
 impl TableHandler for ServerHandler {
-    fn replace(&self, rows: &[Row]) {
+    fn replace(&self, rows: &[Row]) -> Vec<String> {
         let now_ms = self.state.now_ms();
         let mut registrations = Vec::new();
         let mut unreadable = Vec::new();
@@ -117,9 +118,14 @@
             .registry
             .lock()
             .replace(registrations, &unreadable, now_ms);
+        let mut published = Vec::new();
         for (id, change) in changes {
             log_change(&id, change);
+            if !matches!(change, Change::None | Change::Outdated) {
+                published.push(id.as_str().to_owned());
+            }
         }
+        published
     }
 
     fn apply(&self, row: &Row) -> Propagation {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -71,8 +71,9 @@
 
 /// Applies the content and the availability of a table to the router's state.
 pub trait TableHandler: Send + Sync + 'static {
-    /// Replaces the whole content by a snapshot.
-    fn replace(&self, rows: &[Row]);
+    /// Replaces the whole content by a snapshot; returns the keys of the rows whose change other
+    /// routers need.
+    fn replace(&self, rows: &[Row]) -> Vec<String>;
 
     /// Applies one changed row.
     fn apply(&self, row: &Row) -> Propagation;
@@ -91,6 +92,8 @@
     pub long_poll_timeout: Duration,
     /// Pause after each response, so that changes are read in batches.
     pub pause: Duration,
+    /// Whether another router is expected to relay the table soon after the start.
+    pub starts_relayed: bool,
 }
 
 /// First pause after a failure, doubled for each consecutive one.
@@ -100,10 +103,33 @@
 const RETRY_MAX_MS: u64 = 600;
 /// Interval at which a router with a relayed table checks whether it must read the source itself.
 const STANDBY_POLL: Duration = Duration::from_millis(200);
+/// Interval at which a router that has just started checks whether the table is relayed.
+const START_POLL: Duration = Duration::from_millis(20);
+/// Shortest time for which a router without content waits for a relay before it reads the source: a
+/// seed that starts at the same moment reads and relays the tables within this time.
+const START_WAIT_MIN_MS: u64 = 500;
+/// Longest such time. Spread over this span, the snapshots of 300 routers that start without seeds
+/// are a few calls every 100 ms instead of 2,000 at once.
+const START_WAIT_MAX_MS: u64 = 2_500;
+
+/// Waits until the table is relayed, or until this router should read the source itself.
+async fn wait_for_relay(mirror: &Mirror) {
+    let wait_ms = rand::rng().random_range(START_WAIT_MIN_MS..=START_WAIT_MAX_MS);
+    let polls = u128::from(wait_ms) / START_POLL.as_millis();
+    for _ in 0..polls {
+        if mirror.is_relayed() || mirror.position().is_some() {
+            return;
+        }
+        smol::Timer::after(START_POLL).await;
+    }
+}
 
 /// Watches one source and applies its changes to `mirror`; pauses while another router relays the
 /// table. Never returns.
 pub async fn watch_table(source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming) {
+    if timing.starts_relayed {
+        wait_for_relay(&mirror).await;
+    }
     let mut failures = 0;
     let mut needs_snapshot = true;
     loop {
