--- a/src/gateway/relay/row_codec/tests.rs
+++ b/src/gateway/relay/row_codec/tests.rs
@@ -83,3 +83,59 @@
     };
     assert!(RowDecoder::default().decode(chunk).is_err());
 }
+
+fn server_rows(count: usize) -> Arc<Rows> {
+    let server = |number: usize| Row {
+        key: format!("i-{number:08x}"),
+        content: Some(Bytes::from(format!(
+            r#"{{"Backend":"shop","Addr":"10.1.{}.{}:8000","State":"ready","Seq":{number}}}"#,
+            number / 250,
+            number % 250,
+        ))),
+    };
+    Arc::new(Rows {
+        rows: (0..count).map(server).collect(),
+        position: crate::gateway::watch::Position(1),
+    })
+}
+
+/// Guards against a start in which the entries of 3,000 servers, sent one by one, choke the link of
+/// a router that relays them.
+#[test]
+fn pack_entries_of_servers_shrink_to_a_quarter_and_round_trip() {
+    let rows = server_rows(3_000);
+    let encoder = RowEncoder::default();
+    let batches = encoder.pack(&rows).unwrap();
+    let plain = rows.rows.iter().flat_map(|row| encoder.encode(row));
+    let plain: usize = plain.map(|row| row.encoded_len()).sum();
+    let packed: usize = batches.iter().map(Bytes::len).sum();
+    assert!(packed * 4 < plain, "{packed} of {plain} bytes");
+    let mut decoder = RowDecoder::default();
+    let unpacked = batches.iter().flat_map(|b| decoder.unpack(b).unwrap());
+    assert_eq!(unpacked.collect::<Vec<_>>(), rows.rows);
+    // An equal snapshot for another subscriber is not deflated again.
+    let again = encoder.pack(&server_rows(3_000)).unwrap();
+    assert!(Arc::ptr_eq(&batches, &again));
+}
+
+/// Few rows, and rows or batches that do not fit a frame, are sent one by one.
+#[test]
+fn pack_few_or_large_rows_returns_none() {
+    let encoder = RowEncoder::default();
+    assert!(encoder.pack(&server_rows(2)).is_none());
+    let large = Rows {
+        rows: vec![row(Some(incompressible(60 * 1024))); 20],
+        position: crate::gateway::watch::Position(1),
+    };
+    assert!(encoder.pack(&Arc::new(large)).is_none());
+}
+
+/// One malformed batch must end the link and nothing else.
+#[test]
+fn unpack_malformed_batch_fails() {
+    let mut decoder = RowDecoder::default();
+    let noise = Bytes::from(incompressible(500));
+    assert!(decoder.unpack(&noise).is_err());
+    let no_batch = deflate_bytes(&incompressible(500)).unwrap();
+    assert!(decoder.unpack(&no_batch).is_err());
+}
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -53,6 +53,7 @@
     compacted_version: u64,
     mode: StoreMode,
     calls: u64,
+    page_reads: u64,
 }
 
 /// Handle of a running store.
@@ -72,6 +73,7 @@
             compacted_version: 0,
             mode: StoreMode::Serving,
             calls: 0,
+            page_reads: 0,
         }));
         let shared = Arc::clone(&state);
         let server = Server::bind(address, move |request| {
@@ -119,6 +121,11 @@
     pub fn calls(&self) -> u64 {
         self.state.lock().calls
     }
+
+    /// Number of pages of rows read since the start.
+    pub fn page_reads(&self) -> u64 {
+        self.state.lock().page_reads
+    }
 }
 
 impl State {
@@ -193,7 +200,9 @@
     match request.uri().path() {
         "/jujubeusher/rows-get" => {
             let from = query_param(&request, "From").unwrap_or_default();
-            json_response(StatusCode::OK, &state.lock().page(&table, &from))
+            let mut state = state.lock();
+            state.page_reads += 1;
+            json_response(StatusCode::OK, &state.page(&table, &from))
         }
         "/jujubeusher/rows-feed" => {
             let number = |name| query_param(&request, name).and_then(|text| text.parse().ok());
