--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -276,14 +276,14 @@
     fn publish_counts(&mut self, router: usize, now_us: u64) {
         let now_ms = now_us / 1_000;
         let own = self.routers[router].own_counts();
-        let group = self.routers[router].fleet_counts.group_counts(&own);
+        let group = self.routers[router].fleet_counts.subtree_counts(&own);
         let mut all = self.routers[router].fleet_counts.others(&own);
         for (server, count) in &own {
             *all.entry(*server).or_default() += count;
         }
         for link in &mut self.links[router] {
             let now = match link.scope {
-                Scope::Own => &own,
+                Scope::Subtree => &own,
                 Scope::Group => &group,
                 Scope::Fleet => &all,
             };
@@ -322,7 +322,7 @@
     for router in 0..count {
         let seed = router % seeds;
         if router >= seeds {
-            link(router, seed, Scope::Own);
+            link(router, seed, Scope::Subtree);
             link(seed, router, Scope::Fleet);
             continue;
         }
