Keep requests on new connections through a stop, and panics within their task

Two faults that other operators reported, looked for here. A planned stop closed a connection whose first request hyper had not read completely: bytes in the socket or half a head were cut off without an answer. And a panic in a task was passed on by the executor to its thread, which ended the process with all its requests.

A stopping listener now waits for a request that has arrived in part, waits in the socket or is due on a new connection (0.5 s). Detached tasks catch a panic and log it; spawn_supervised starts a long-lived one again. A connection's count is a guard, so a panic does not leak it. http::server::tests show both on sockets.

--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -51,6 +51,8 @@
 struct State {
     phase: Phase,
     since: Instant,
+    opened: Instant,
+    has_request: bool,
     write_blocked_since: Option<Instant>,
 }
 
@@ -68,6 +70,8 @@
             state: Arc::new(Mutex::new(State {
                 phase: Phase::Idle,
                 since: Instant::now(),
+                opened: Instant::now(),
+                has_request: false,
                 write_blocked_since: None,
             })),
         }
@@ -83,7 +87,25 @@
 
     /// Records that a complete header block was received.
     pub fn begin_request(&self) {
-        self.state.lock().phase = Phase::Responding;
+        let mut state = self.state.lock();
+        state.phase = Phase::Responding;
+        state.has_request = true;
+    }
+
+    /// Whether no byte of a request has been received since the last response.
+    pub fn is_idle(&self) -> bool {
+        self.state.lock().phase == Phase::Idle
+    }
+
+    /// Whether a header block has been received in part.
+    pub fn is_receiving_head(&self) -> bool {
+        self.state.lock().phase == Phase::Head
+    }
+
+    /// Time since the connection was accepted, if it has not brought a request yet.
+    pub fn time_without_request(&self) -> Option<Duration> {
+        let state = self.state.lock();
+        (!state.has_request).then(|| state.opened.elapsed())
     }
 
     /// Whether no request is being handled, so that bytes written now are hyper's own response.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,5 +1,8 @@
 //! HTTP listener that limits the connections, headers and idle times of its clients.
 
+#[cfg(test)]
+mod tests;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -28,6 +31,13 @@
 /// Pause after a failed accept, so that the loop does not spin when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Interval at which a stopping listener checks whether a connection has brought a request.
+const STOP_POLL: Duration = Duration::from_millis(5);
+
+/// Time for which a stopping listener waits for the first request of a connection. Callers send it
+/// as soon as they are connected, so that it arrives within a round trip.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// A running listener.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -117,14 +127,24 @@
         }
         let limits = limits.clone();
         let handle = handle.clone();
-        let server = server.clone();
+        let stop = server.stop.clone();
+        let open = OpenConnection(Arc::clone(&server.open_connections));
         runtime.spawn_detached_round_robin(async move {
-            serve(stream, &limits, handle, &server.stop).await;
-            server.open_connections.fetch_sub(1, Ordering::Relaxed);
+            serve(stream, &limits, handle, &stop).await;
+            drop(open);
         });
     }
 }
 
+/// An open connection; dropping it ends the count, also if its task panics.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Sends as much of a refusal as the socket accepts without waiting, since a flood of connections
 /// must not occupy the accept loop.
 async fn refuse_connection(stream: &mut TcpStream) {
@@ -197,10 +217,26 @@
             false
         })
         .await;
-        if !is_done {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        if is_done {
+            return None;
         }
+        // hyper closes a connection at once whose request has not been received completely.
+        while may_bring_request(stream, progress).await {
+            let is_done = async {
+                let _ = connection.as_mut().await;
+                true
+            }
+            .or(async {
+                smol::Timer::after(STOP_POLL).await;
+                false
+            })
+            .await;
+            if is_done {
+                return None;
+            }
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
         None
     };
     serve
@@ -208,6 +244,19 @@
         .await
 }
 
+/// Whether a request has been received in part, waits in the socket, or is about to come on a new
+/// connection, so that closing the connection would cut it off.
+async fn may_bring_request(stream: &TcpStream, progress: &ConnectionProgress) -> bool {
+    if !progress.is_idle() {
+        return progress.is_receiving_head();
+    }
+    let is_new = progress
+        .time_without_request()
+        .is_some_and(|time| time < FIRST_REQUEST_WAIT);
+    let peeked = future::poll_once(stream.peek(&mut [0])).await;
+    is_new || matches!(peeked, Some(Ok(1..)))
+}
+
 /// Whether the connection must be closed after this request.
 ///
 /// hyper silently drops a Content-Length that is sent together with Transfer-Encoding. RFC 9112
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -122,22 +123,67 @@
         self.current_or_next_worker().spawn(future)
     }
 
-    /// Spawns a future on the caller's worker and runs it to completion without a handle.
+    /// Spawns a future on the caller's worker and runs it to completion without a handle. A panic
+    /// ends only this task.
+    ///
+    /// ```
+    /// use jujubeusher::runtime::Runtime;
+    /// let runtime = Runtime::single_threaded();
+    /// runtime.spawn_detached(async { panic!("ends only this task") });
+    /// let task = runtime.spawn(async { 7 });
+    /// assert_eq!(runtime.block_on(task), 7);
+    /// ```
     pub fn spawn_detached<F>(&self, future: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
+        let future = catch_panic(future);
         self.current_or_next_worker().spawn(future).detach();
     }
 
+    /// Spawns a task that lasts as long as the process, and starts it again after a panic, so that
+    /// one malformed input does not end the watch of a table or the listener.
+    pub fn spawn_supervised<M, F>(&self, make: M)
+    where
+        M: Fn() -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn_detached(async move {
+            while !catch_panic(make()).await {
+                smol::Timer::after(RESTART_PAUSE).await;
+            }
+        });
+    }
+
     /// Spawns a future on the next worker in round-robin order and runs it to completion, for
     /// work that is independent of the caller's, such as a new connection.
     pub fn spawn_detached_round_robin<F>(&self, future: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        self.next_worker().spawn(future).detach();
+        self.next_worker().spawn(catch_panic(future)).detach();
+    }
+}
+
+/// Pause before a task that panicked is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(200);
+
+/// Runs a task and returns whether it completed; a panic is logged. The executor would otherwise
+/// pass the panic on to its thread, and so end the process and all its requests.
+async fn catch_panic<F>(future: F) -> bool
+where
+    F: Future<Output = ()>,
+{
+    let caught = AssertUnwindSafe(future).catch_unwind().await;
+    if let Err(panic) = &caught {
+        let text = panic.downcast_ref::<&str>().copied();
+        let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+        log::error!(
+            "event=task_panicked problem=\"{}\"",
+            text.unwrap_or("unknown")
+        );
     }
+    caught.is_ok()
 }
 
 /// Address that distinguishes the workers of one runtime from those of another.
