Bound the memory of all responses, and end streams that only seem to go on

Cause: a wait for an event started anew with each byte, so a server that sent a byte or a comment now and then kept a stream open until the route's time was over; and each response was bounded alone, at 16 MiB, so that ten could exceed the memory of a small host.

The wait for an event is extended only by bytes at a fair rate, and comments are no progress. What all responses hold beyond 64 KiB each is bounded by an eighth of the process's memory, and a connection's read buffer by 64 KiB.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to get a response from one backend server.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::http::lazy_timer::LazyTimer;
+use crate::http::memory_budget::MemoryShare;
 use crate::http::pool::{Connection, SendError};
 use crate::http::raw_events::{RawEvent, RawEventDecoder};
 use crate::ids::RunState;
@@ -129,6 +131,48 @@
     Broken,
 }
 
+/// How long to wait for an event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventWait {
+    /// Longest time without progress.
+    pub stall_ms: u64,
+    /// Longest time in all, whatever arrives.
+    pub total_ms: u64,
+}
+
+/// Rate at which a part of an event must arrive to extend the wait for its end: a tenth of the
+/// slowest stream of tokens.
+const EVENT_MIN_BYTES_PER_S: u64 = 100;
+/// Maximum size of the blocks without data before the first event.
+const LEADING_BLOCKS_MAX_BYTES: usize = 16 * 1024;
+
+impl EventWait {
+    /// A wait that ends after `total_ms`, whatever arrives.
+    pub fn until(total_ms: u64) -> Self {
+        Self {
+            stall_ms: total_ms,
+            total_ms,
+        }
+    }
+
+    /// What is left of the wait after this time.
+    fn after(self, elapsed_ms: u64) -> Self {
+        Self {
+            stall_ms: self.stall_ms.saturating_sub(elapsed_ms),
+            total_ms: self.total_ms.saturating_sub(elapsed_ms),
+        }
+    }
+
+    /// Time to wait for further bytes; `None` once it is over.
+    fn remaining(self, elapsed_ms: u64, received_bytes: u64) -> Option<Duration> {
+        const MS_PER_S: u64 = 1_000;
+        let extension_ms = received_bytes * MS_PER_S / EVENT_MIN_BYTES_PER_S;
+        let limit_ms = self.total_ms.min(self.stall_ms + extension_ms);
+        let remaining_ms = limit_ms.checked_sub(elapsed_ms)?;
+        (remaining_ms > 0).then(|| Duration::from_millis(remaining_ms))
+    }
+}
+
 /// The events of a stream from one server.
 pub struct EventSource {
     /// Server that sends the stream.
@@ -139,29 +183,67 @@
     body: Incoming,
     events: RawEventDecoder,
     timer: LazyTimer,
-    first: Option<RawEvent>,
+    first: VecDeque<RawEvent>,
+    memory: MemoryShare,
     keep_alive: Option<Duration>,
     _load: LoadTicket,
     _prompt: Option<PromptGuard>,
 }
 
 impl EventSource {
-    /// Reads the next event, waiting up to `wait` for data; `None` at the end of the stream.
-    pub async fn next_event(&mut self, wait: Duration) -> Result<Option<RawEvent>, StreamError> {
-        if let Some(event) = self.first.take() {
-            return Ok(Some(event));
+    /// Reads the first event with data and keeps it, with the blocks before it, for `next_event`.
+    async fn read_first(&mut self, wait: EventWait) -> Result<(), StreamError> {
+        let started_ms = self.clock.monotonic_ms();
+        let mut kept_bytes = 0;
+        loop {
+            let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
+            let Some(event) = self.read_event(wait.after(elapsed_ms)).await? else {
+                return Ok(());
+            };
+            let is_progress = event.is_progress();
+            kept_bytes += event.bytes.len();
+            self.first.push_back(event);
+            if is_progress {
+                return Ok(());
+            }
+            if kept_bytes > LEADING_BLOCKS_MAX_BYTES {
+                return Err(StreamError::Stalled);
+            }
         }
+    }
+
+    /// Reads the next event; `None` at the end of the stream.
+    pub async fn next_event(&mut self, wait: EventWait) -> Result<Option<RawEvent>, StreamError> {
+        match self.first.pop_front() {
+            Some(event) => Ok(Some(event)),
+            None => self.read_event(wait).await,
+        }
+    }
+
+    /// Reads until an event is complete. A byte now and then does not extend the wait, but a part
+    /// of an event does that arrives at a fair rate.
+    async fn read_event(&mut self, wait: EventWait) -> Result<Option<RawEvent>, StreamError> {
+        let started_ms = self.clock.monotonic_ms();
+        let mut received_bytes = 0;
         loop {
-            if let Some(event) = self.buffered_event()? {
+            if let Some(event) = self.events.next_event().map_err(|_| StreamError::Broken)? {
                 return Ok(Some(event));
             }
-            match self.timer.with_timeout(wait, self.body.frame()).await {
+            if !self.memory.try_hold(self.events.buffered_bytes()) {
+                return Err(StreamError::Broken);
+            }
+            let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
+            let Some(remaining) = wait.remaining(elapsed_ms, received_bytes) else {
+                return Err(StreamError::Stalled);
+            };
+            match self.timer.with_timeout(remaining, self.body.frame()).await {
                 None => return Err(StreamError::Stalled),
                 Some(None) if self.events.is_empty() => return Ok(None),
                 Some(None | Some(Err(_))) => return Err(StreamError::Broken),
                 Some(Some(Ok(frame))) => {
                     self.last_activity.record(self.clock.monotonic_ms());
                     if let Some(bytes) = frame.data_ref() {
+                        received_bytes += bytes.len() as u64;
                         self.events.push(bytes);
                     }
                 }
@@ -171,6 +253,9 @@
 
     /// Returns the next event that has been received already, if there is one.
     pub fn buffered_event(&mut self) -> Result<Option<RawEvent>, StreamError> {
+        if let Some(event) = self.first.pop_front() {
+            return Ok(Some(event));
+        }
         self.events.next_event().map_err(|_| StreamError::Broken)
     }
 
@@ -264,15 +349,16 @@
                 body,
                 events: RawEventDecoder::default(),
                 timer: LazyTimer::default(),
-                first: None,
+                first: VecDeque::new(),
+                memory: state.response_memory.share(),
                 keep_alive: response_head.keep_alive,
                 _load: load_ticket,
                 _prompt: prompt_guard,
             };
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
-            let remaining = Duration::from_millis(limits.first_event_ms.saturating_sub(elapsed_ms));
-            let next = while_reachable(state, server, source.next_event(remaining)).await;
-            source.first = next.map_err(unreachable)?.map_err(|cause| match cause {
+            let wait = EventWait::until(limits.first_event_ms.saturating_sub(elapsed_ms));
+            let first = while_reachable(state, server, source.read_first(wait)).await;
+            first.map_err(unreachable)?.map_err(|cause| match cause {
                 StreamError::Stalled => timed_out(),
                 StreamError::Broken => Failure::new(FailureKind::Broken, cause),
             })?;
@@ -281,7 +367,8 @@
         false => {
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
             let remaining = Duration::from_millis(limits.remaining_ms.saturating_sub(elapsed_ms));
-            let reading = with_timeout(remaining, read_body(body));
+            let memory = state.response_memory.share();
+            let reading = with_timeout(remaining, read_body(body, memory));
             let read = while_reachable(state, server, reading)
                 .await
                 .map_err(unreachable)?;
@@ -367,7 +454,7 @@
     state.load.apply_report(&server.id, report);
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(mut body: Incoming, mut memory: MemoryShare) -> Result<Bytes, Failure> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Failure::new(FailureKind::Broken, error))?;
@@ -378,6 +465,13 @@
             let reason = format!("the response is larger than {RESPONSE_MAX_BYTES} bytes");
             return Err(Failure::new(FailureKind::Foreign, reason));
         }
+        if !memory.try_hold(bytes.len()) {
+            let reason = format!(
+                "the response has {} bytes, and the memory for responses is used up",
+                bytes.len()
+            );
+            return Err(Failure::new(FailureKind::Foreign, reason));
+        }
     }
     Ok(bytes.freeze())
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -105,12 +105,12 @@
             pause: Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR),
             starts_relayed,
         };
-        state
-            .runtime
-            .spawn_detached(watch_table(self.routes, routes, routes_timing));
-        state
-            .runtime
-            .spawn_detached(watch_table(self.servers, servers, servers_timing));
+        let watch = |source: Arc<dyn Source>, mirror: Arc<Mirror>, timing| {
+            move || watch_table(Arc::clone(&source), Arc::clone(&mirror), timing)
+        };
+        let runtime = &state.runtime;
+        runtime.spawn_supervised(watch(self.routes, routes, routes_timing));
+        runtime.spawn_supervised(watch(self.servers, servers, servers_timing));
         Ok(())
     }
 }
@@ -164,7 +164,8 @@
             decode_server: dependencies.decode_server,
         };
         tables.watch(&state, &stop)?;
-        runtime.spawn_detached(reachability::probe_loop(Arc::clone(&state)));
+        let shared = Arc::clone(&state);
+        runtime.spawn_supervised(move || reachability::probe_loop(Arc::clone(&shared)));
         log::info!(
             "event=started router={} zone={} callers={} ready={}",
             state.settings().name,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -122,10 +122,13 @@
         true => {
             let seeds = relay.settings.seeds.iter();
             for seed in seeds.filter(|seed| **seed != address) {
-                runtime.spawn_detached(report_counts_to_seed(Arc::clone(&relay), *seed));
+                let (relay, seed) = (Arc::clone(&relay), *seed);
+                runtime.spawn_supervised(move || report_counts_to_seed(Arc::clone(&relay), seed));
             }
         }
-        false => runtime.spawn_detached(subscribe::subscribe_loop(relay)),
+        false => {
+            runtime.spawn_supervised(move || subscribe::subscribe_loop(Arc::clone(&relay)));
+        }
     }
     Ok(())
 }
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -28,6 +28,8 @@
 
 /// Subscribes below one seed after the other, and pauses after each round of failures.
 pub(super) async fn subscribe_loop(relay: Arc<Relay>) {
+    // A previous run that ended in a panic may have left its link marked as relaying.
+    stop_relaying(&relay);
     loop {
         let mut seeds = relay.settings.seeds.clone();
         seeds.shuffle(&mut rand::rng());
@@ -67,11 +69,7 @@
 async fn subscribe(relay: &Relay, address: SocketAddr, is_insisting: bool) -> Option<Ended> {
     let ended = run_subscription(relay, address, is_insisting).await;
     let was_relayed = relay.mirrors.iter().any(|mirror| mirror.is_relayed());
-    relay
-        .mirrors
-        .iter()
-        .for_each(|mirror| mirror.set_relayed(false));
-    relay.tree.lock().clear_parents();
+    stop_relaying(relay);
     match (&ended, was_relayed) {
         (Err(error), true) => log::info!("event=relay_lost seed={address} error=\"{error}\""),
         (Err(error), false) => log::debug!("event=relay_failed seed={address} error=\"{error}\""),
@@ -92,6 +90,13 @@
     }
 }
 
+/// Records that no router relays to this one.
+fn stop_relaying(relay: &Relay) {
+    let mirrors = relay.mirrors.iter();
+    mirrors.for_each(|mirror| mirror.set_relayed(false));
+    relay.tree.lock().clear_parents();
+}
+
 async fn run_subscription(
     relay: &Relay,
     address: SocketAddr,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reachability::Reachability;
+use crate::http::memory_budget::MemoryBudget;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
 use crate::observe::gateway_metrics::GatewayMetrics;
@@ -47,6 +48,8 @@
     pub stop_grace_ms: u64,
     /// Longest time for which a leaving server may still receive requests.
     pub drain_ms: u64,
+    /// Memory that this process may use.
+    pub memory_bytes: usize,
     /// How routers relay the tables; `None` for a router that always reads them itself.
     pub relay: Option<RelaySettings>,
 }
@@ -92,6 +95,8 @@
     pub load: LoadTable,
     /// Number of this router's requests in flight, by shared prompt parts.
     pub prompts_in_flight: PromptsInFlight,
+    /// Bound on the memory of all responses that are being received.
+    pub response_memory: MemoryBudget,
     /// Timeouts of callers' connections.
     pub caller_timeouts: CallerTimeouts,
     /// Metrics of the request path.
@@ -114,6 +119,9 @@
     is_stopping: AtomicBool,
 }
 
+/// Share of the process's memory for responses that are being received: an eighth leaves room for
+/// as much again in the buffers of their connections.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 /// Counts of the other routers that the load estimates include.
 #[derive(Debug, Default)]
 struct AppliedCounts {
@@ -146,6 +154,7 @@
     ) -> Result<Self> {
         Ok(Self {
             metrics: GatewayMetrics::open()?,
+            response_memory: MemoryBudget::new(settings.memory_bytes / RESPONSE_MEMORY_DIVISOR),
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,14 +2,13 @@
 //! from several.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use crate::gateway::attempt::{EventSource, ResponseBody, StreamError};
+use crate::gateway::attempt::{EventSource, EventWait, ResponseBody, StreamError};
 use crate::gateway::reachability::while_reachable;
 use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
@@ -30,6 +29,8 @@
     history: AttemptHistory,
     source: Option<EventSource>,
     last_event: Option<u64>,
+    /// Time of the last event with data, or of the last recovery.
+    progress_ms: u64,
     events: u64,
     outcome: &'static str,
     _in_flight: InFlightGuard,
@@ -45,6 +46,7 @@
     let relay = StreamRelay {
         _in_flight: state.track_request(),
         last_event: routed.last_event,
+        progress_ms: state.now_ms(),
         events: 0,
         outcome: "caller_gone",
         source: Some(source),
@@ -77,12 +79,20 @@
                     "the deadline of the stream has passed",
                 ));
             }
-            let wait_ms = stall_timeout_ms(&self.routed).min(remaining_ms);
+            let now_ms = self.state.now_ms();
+            let without_progress_ms = now_ms.saturating_sub(self.progress_ms);
+            let wait = EventWait {
+                stall_ms: stall_timeout_ms(&self.routed).saturating_sub(without_progress_ms),
+                total_ms: remaining_ms,
+            };
             let server = source.server.clone();
-            let next = source.next_event(Duration::from_millis(wait_ms));
+            let next = source.next_event(wait);
             let next = while_reachable(&self.state, &server, next).await;
             match next.unwrap_or(Err(StreamError::Broken)) {
                 Ok(Some(event)) => {
+                    if event.is_progress() {
+                        self.progress_ms = self.state.now_ms();
+                    }
                     if let Some(bytes) = self.join_buffered(event) {
                         return Ok(Some(bytes));
                     }
@@ -94,7 +104,10 @@
                     }
                     return Ok(None);
                 }
-                Err(cause) => self.recover(cause).await?,
+                Err(cause) => {
+                    self.recover(cause).await?;
+                    self.progress_ms = self.state.now_ms();
+                }
             }
         }
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub mod guard;
 pub mod lazy_timer;
 pub mod limits;
+pub mod memory_budget;
 pub mod pool;
 pub mod raw_events;
 pub mod server;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -26,6 +26,10 @@
 /// Idle connections are discarded after this time, since the server may have closed them.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const SHARDS: usize = 16;
+/// Maximum size of a connection's read buffer, and so of a response's head: four times the largest
+/// head that is accepted from callers. hyper's own limit is 400 KiB, which 200 heads without end
+/// turn into 80 MB.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
 /// Upper bound of the round trip assumed from the time to connect. A lost packet makes a connection
 /// take a second, which says nothing about the round trip.
 const ROUND_TRIP_MAX: Duration = Duration::from_millis(20);
@@ -160,7 +164,9 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
-        let (sender, driver) = hyper::client::conn::http1::handshake(socket)
+        let (sender, driver) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(socket)
             .await
             .map_err(io::Error::other)?;
         self.runtime.spawn_detached(async move {
--- a/src/http/raw_events.rs
+++ b/src/http/raw_events.rs
@@ -16,6 +16,23 @@
     pub id: Option<u64>,
 }
 
+impl RawEvent {
+    /// Whether the event has an id or data. A block without either, such as a comment, keeps a
+    /// connection open but is no progress of the stream.
+    ///
+    /// ```
+    /// use jujubeusher::http::raw_events::RawEventDecoder;
+    /// let mut events = RawEventDecoder::default();
+    /// events.push(b": ping\n\ndata: a\n\n");
+    /// assert!(!events.next_event().unwrap().unwrap().is_progress());
+    /// assert!(events.next_event().unwrap().unwrap().is_progress());
+    /// ```
+    pub fn is_progress(&self) -> bool {
+        let has_data = |line: &[u8]| line.starts_with(b"data");
+        self.id.is_some() || self.bytes.split(|byte| *byte == b'\n').any(has_data)
+    }
+}
+
 /// Buffers received bytes and splits off complete events.
 #[derive(Debug, Default)]
 pub struct RawEventDecoder {
@@ -30,6 +47,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer contains no part of an incomplete event.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
