Tell refused callers to return when an overload is expected to end

Cause: the pause was a random 250 to 900 ms whatever the load, so in a burst of ten seconds callers came back to the same full servers and were refused for good. decide::overload keeps, for each service, how long the current overload has lasted; callers return after up to three times that, spread, and within the third of their time for which they heed a pause.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod orders;
 pub mod overlay;
+pub mod overload;
 pub mod placement;
 pub mod probe;
 pub mod prompt_homes;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -50,8 +50,11 @@
         routers: state.router_count(),
     });
     let placed = place(&candidates, prompt, rand::rng().random());
-    let ordered = placed.map_err(|AtCapacity| Rejection::Overloaded {
-        retry_after_ms: random_retry_after_ms(),
+    let ordered = placed.map_err(|AtCapacity| {
+        let remaining_ms = routed.remaining_ms(state.now_ms());
+        Rejection::Overloaded {
+            retry_after_ms: state.record_overload(&routed.service, remaining_ms),
+        }
     })?;
     let ordered = state.reachability.order(ordered, state.now_ms());
     let first = ordered.into_iter().next();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
+use crate::decide::overload::Overload;
 use crate::decide::prompt_homes::{PromptHomes, fetch_source};
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetRetryLimit, RetryWindow};
@@ -110,6 +111,7 @@
     pub(super) routing: RwLock<Option<Arc<RoutingTable>>>,
     pub(super) registry: Mutex<Registry>,
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
+    overloads: Mutex<IndexMap<ServiceId, Overload>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
     fleet_totals: Mutex<Option<Arc<FleetTotals>>>,
@@ -168,6 +170,7 @@
             routing: RwLock::default(),
             registry: Mutex::default(),
             retry_windows: Mutex::default(),
+            overloads: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
             fleet_totals: Mutex::default(),
@@ -344,6 +347,15 @@
         window.try_record_retry(now_ms, &self.settings().retry_limit, self.router_count())
     }
 
+    /// Records that a request was refused since all servers of its service are at capacity; returns
+    /// the time in ms after which its caller should return.
+    pub fn record_overload(&self, service: &ServiceId, remaining_ms: u64) -> u64 {
+        let now_ms = self.now_ms();
+        let mut overloads = self.overloads.lock();
+        let overload = overloads.entry(service.clone()).or_default();
+        overload.record_refusal(now_ms, remaining_ms, rand::random())
+    }
+
     /// State of this process as JSON, for operators.
     pub fn dump(&self) -> Value {
         let now_ms = self.now_ms();
