Pass counts down the relay tree without waiting, and join it quickly at a start

A router forwards totals as soon as they arrive, the degree follows a tenth of the link instead of a twenty-fifth, and a router without tables tries the seeds every 100 ms.

--- a/src/decide/relay_tree.rs
+++ b/src/decide/relay_tree.rs
@@ -33,15 +33,16 @@
 /// Traffic over one link at the highest rate of counts, in kbit/s: 150 counts of 11 bytes in each
 /// message, and five messages a second.
 const LINK_KBIT_PER_S: f64 = 66.0;
-/// Share of a router's network link that its subscribers may use for counts.
-const LINK_SHARE: f64 = 0.04;
+/// Share of a router's network link that its subscribers may use for counts. A smaller share makes the
+/// tree deeper and the counts older, and plain services with few slots refuse more.
+const LINK_SHARE: f64 = 0.1;
 
 /// Maximum number of subscribers from the own availability zone, for a network link of this speed.
 ///
 /// ```
 /// use jujubeusher::decide::relay_tree::degree;
-/// assert_eq!(degree(10.0), 6);
-/// assert_eq!(degree(20.0), 12);
+/// assert_eq!(degree(10.0), 15);
+/// assert_eq!(degree(20.0), 30);
 /// assert_eq!(degree(1_000.0), 32);
 /// ```
 pub fn degree(link_mbit_per_s: f64) -> usize {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
 use smol::net::{TcpListener, TcpStream};
@@ -41,6 +42,9 @@
 /// Pause before the seeds are tried again while this router reads the tables itself, and after
 /// other failures of a link or the listener.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+/// Such a pause while this router knows no tables: routers that start together with the seeds find
+/// them not listening yet.
+const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Table number of messages that concern no table.
 const NO_TABLE: u32 = u32::MAX;
 
@@ -54,6 +58,28 @@
     mirrors: Mirrors,
     encoder: RowEncoder,
     tree: Mutex<RelayTree>,
+    totals_received: Pulse,
+}
+
+/// Wakes the links to the subscribers when new totals have arrived from the router above. With
+/// timers of their own, each level of the tree would add 100 ms to the age of the counts.
+#[derive(Default)]
+struct Pulse(Mutex<Vec<Sender<()>>>);
+
+impl Pulse {
+    /// A channel that receives a message for each pulse, unless one is waiting.
+    fn subscribe(&self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.0.lock().push(sender);
+        receiver
+    }
+
+    fn send(&self) {
+        let mut senders = self.0.lock();
+        senders.retain(|sender| !sender.is_closed());
+        // A full channel holds a pulse that has not been handled yet.
+        senders.iter().for_each(|sender| _ = sender.try_send(()));
+    }
 }
 
 impl Relay {
@@ -110,6 +136,7 @@
         tree: Mutex::new(RelayTree::new(address, zone, settings.degree)),
         mirrors: Arc::clone(mirrors),
         encoder: RowEncoder::default(),
+        totals_received: Pulse::default(),
         settings,
     });
     let runtime = &state.runtime;
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -1,6 +1,7 @@
 //! Updates that a router sends to one subscriber.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use futures_util::future::select_all;
@@ -18,6 +19,10 @@
 /// Size of rows at which a message is sent, so that it stays well below the largest frame.
 const MESSAGE_TARGET_BYTES: usize = 64 * 1024;
 
+/// Period of counts from a router below a seed while it receives none itself: long enough that
+/// counts from above usually come first.
+const COUNTS_FALLBACK: Duration = Duration::from_millis(300);
+
 /// Publishes updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
 pub(super) async fn publish_to_subscriber(
     relay: &Relay,
@@ -37,12 +42,21 @@
     let mut sent_path = Vec::new();
     send_path(relay, writer, &mut sent_path).await?;
     let mut sent_counts = Counts::new();
-    let mut tick = smol::Timer::after(COUNTS_PERIOD);
+    let totals_received = relay.totals_received.subscribe();
+    let period = match relay.is_seed() {
+        true => COUNTS_PERIOD,
+        false => COUNTS_FALLBACK,
+    };
+    let mut tick = smol::Timer::after(period);
     loop {
         let next = updates.iter().map(|updates| Box::pin(updates.recv()));
         let next = async { Some(select_all(next).await) };
         let counts_due = async {
-            (&mut tick).await;
+            let ticked = async {
+                (&mut tick).await;
+            };
+            let received = async { _ = totals_received.recv().await };
+            ticked.or(received).await;
             None
         };
         let send = async {
@@ -65,7 +79,7 @@
         };
         let was_tick = send.await?;
         if was_tick {
-            tick = smol::Timer::after(COUNTS_PERIOD);
+            tick = smol::Timer::after(period);
         }
     }
 }
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -11,7 +11,7 @@
 use crate::gateway::relay::counts::{CountLink, report_counts};
 use crate::gateway::relay::row_codec::RowDecoder;
 use crate::gateway::relay::wire::{Admission, Message};
-use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT};
+use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE};
 use crate::gateway::watch::{Position, Row, Rows};
 use crate::peer::frame::{FrameReader, LinkError};
 
@@ -36,7 +36,12 @@
         for seed in seeds {
             search_below(&relay, seed).await;
         }
-        smol::Timer::after(RETRY_PAUSE).await;
+        let has_tables = relay.mirrors.iter().all(|m| m.position().is_some());
+        smol::Timer::after(match has_tables {
+            true => RETRY_PAUSE,
+            false => START_RETRY_PAUSE,
+        })
+        .await;
     }
 }
 
@@ -146,6 +151,8 @@
         }
         if message.table == NO_TABLE {
             link.apply(&message);
+            relay.state.expire_fleet_totals();
+            relay.totals_received.send();
             continue;
         }
         let table = message.table as usize;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -302,6 +302,12 @@
         totals
     }
 
+    /// Makes the next call of `fleet_totals` compute them anew, after counts that other routers wait
+    /// for have arrived.
+    pub fn expire_fleet_totals(&self) {
+        *self.fleet_totals.lock() = None;
+    }
+
     /// Applies the request counts of the other routers to the load estimates, unless they were
     /// applied within the refresh interval; the next message on a link then applies them.
     pub fn apply_counts(&self) {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -109,8 +109,8 @@
 /// seed that starts at the same moment reads and relays the tables within this time.
 const START_WAIT_MIN_MS: u64 = 500;
 /// Longest such time. Spread over this span, the snapshots of 300 routers that start without seeds
-/// are a few calls every 100 ms instead of 2,000 at once.
-const START_WAIT_MAX_MS: u64 = 2_500;
+/// are 200 calls every 100 ms instead of 2,000 at once.
+const START_WAIT_MAX_MS: u64 = 1_500;
 
 /// Waits until the table is relayed, or until this router should read the source itself.
 async fn wait_for_relay(mirror: &Mirror) {
