Let requests wait for the tables of a router that has just started

Cause: after all routers lose power, callers reach routers 200 to 300 ms before these know the tables. They now wait up to 0.5 s, and up to a quarter of their time.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -75,7 +75,10 @@
             .min(BODY_TIMEOUT_MS),
     );
     let body = read_body(body, limit.max(BODY_LIMIT_MIN_BYTES), timeout).await?;
-    let routing = routing.ok_or(Rejection::NoConfiguration)?;
+    let routing = match routing {
+        Some(routing) => routing,
+        None => wait_for_tables(state, head.timeout_ms).await?,
+    };
     let id = head.request_id.clone().ok_or(Rejection::BadRequest)?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let route = routing.route(host.unwrap_or_default(), parts.uri.path());
@@ -109,6 +112,28 @@
     })
 }
 
+/// Longest time that a request waits for the tables of a router that has just started: most receive
+/// them within 300 ms.
+const TABLES_WAIT_MS: u64 = 500;
+/// Share of a caller's time that its request waits for the tables at most.
+const TABLES_WAIT_DIVISOR: u64 = 4;
+/// Interval at which a waiting request checks for the tables.
+const TABLES_POLL: Duration = Duration::from_millis(10);
+
+/// Waits until routes and servers are known. Answers the load after all routers were lost: callers
+/// reach routers that are not ready yet, and most of them try only twice.
+async fn wait_for_tables(
+    state: &State,
+    timeout_ms: Option<u64>,
+) -> Result<Arc<RoutingTable>, Rejection> {
+    let limit_ms = timeout_ms.map_or(TABLES_WAIT_MS, |ms| ms / TABLES_WAIT_DIVISOR);
+    let until_ms = state.now_ms() + limit_ms.min(TABLES_WAIT_MS);
+    while !state.has_tables() && state.now_ms() < until_ms {
+        smol::Timer::after(TABLES_POLL).await;
+    }
+    state.routing().ok_or(Rejection::NoConfiguration)
+}
+
 /// Longest time for receiving a body.
 const BODY_TIMEOUT_MS: u64 = 3_000;
 /// Minimum body limit, which also applies while no configuration is known.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -411,8 +411,12 @@
     /// Whether the platform should send callers here: routes and servers are known, and no stop has
     /// begun.
     pub fn is_ready(&self) -> bool {
-        let has_tables = self.routing.read().is_some() && !self.registry.lock().is_empty();
-        has_tables && !self.is_stopping()
+        self.has_tables() && !self.is_stopping()
+    }
+
+    /// Whether routes and servers are known.
+    pub fn has_tables(&self) -> bool {
+        self.routing.read().is_some() && !self.registry.lock().is_empty()
     }
 
     /// Whether a stop has begun.
