Confirm routes and keys after a pause before they are used

Cause: a process that was paused or whose host was suspended went on with the keys that it knew, and ran a request that waited in its socket although its key had been taken away meanwhile. Shown by pause_key_taken_away_meanwhile_is_rejected, which answered 200 before.

The time of the last update of the routes is kept on the clock that counts suspended time. When it is older than 3 s, which updates every 1.1 s never let happen otherwise, a request waits up to 0.3 s for the next update. While the source is known to be away, the last known routes hold as before.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -75,6 +75,10 @@
             .min(BODY_TIMEOUT_MS),
     );
     let body = read_body(body, limit.max(BODY_LIMIT_MIN_BYTES), timeout).await?;
+    let routing = match state.has_outdated_routes() {
+        true => wait_for_update(state).await,
+        false => routing,
+    };
     let routing = match routing {
         Some(routing) => routing,
         None => wait_for_tables(state, head.timeout_ms).await?,
@@ -134,6 +138,19 @@
     state.routing().ok_or(Rejection::NoConfiguration)
 }
 
+/// Longest time that a request waits for an update of outdated routes.
+const UPDATE_WAIT_MS: u64 = 300;
+
+/// Waits until the routes are confirmed. Without it, a process that was paused accepts a key that was
+/// taken away meanwhile. The last known routes hold if no update comes.
+async fn wait_for_update(state: &State) -> Option<Arc<RoutingTable>> {
+    let until_ms = state.now_ms() + UPDATE_WAIT_MS;
+    while state.has_outdated_routes() && state.now_ms() < until_ms {
+        smol::Timer::after(TABLES_POLL).await;
+    }
+    state.routing()
+}
+
 /// Longest time for receiving a body.
 const BODY_TIMEOUT_MS: u64 = 3_000;
 /// Minimum body limit, which also applies while no configuration is known.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
@@ -119,11 +119,19 @@
     routers_known: AtomicU32,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
+    /// Time of the last update of the routes, on the clock that counts suspended time; 0 while their
+    /// source does not answer.
+    routes_confirmed_ms: AtomicU64,
 }
 
 /// Share of the process's memory for responses that are being received: an eighth leaves room for
 /// as much again in the buffers of their connections.
 const RESPONSE_MEMORY_DIVISOR: usize = 8;
+/// Time without an update after which the routes need to be confirmed: updates come every 1.1 s, and
+/// the loss of their source is known within 1.7 s.
+const ROUTES_UNCONFIRMED_MS: u64 = 3_000;
+/// Weight of a new duration in the mean of a service's calls.
+const RUN_WEIGHT: f64 = 0.1;
 /// Counts of the other routers that the load estimates include.
 #[derive(Debug, Default)]
 struct AppliedCounts {
@@ -178,6 +186,7 @@
             routers_known: AtomicU32::new(0),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
+            routes_confirmed_ms: AtomicU64::new(0),
         })
     }
 
@@ -414,6 +423,24 @@
         self.has_tables() && !self.is_stopping()
     }
 
+    /// Records an update of the routes, or that their source does not answer.
+    pub fn record_routes_source(&self, is_available: bool) {
+        let confirmed_ms = match is_available {
+            true => self.clock.boot_ms(),
+            false => 0,
+        };
+        self.routes_confirmed_ms
+            .store(confirmed_ms, Ordering::Relaxed);
+    }
+
+    /// Whether the routes and keys may have changed without this router's knowledge, as after a pause
+    /// of the process. While their source is known to be away, the last known ones hold.
+    pub fn has_outdated_routes(&self) -> bool {
+        let confirmed_ms = self.routes_confirmed_ms.load(Ordering::Relaxed);
+        confirmed_ms > 0
+            && self.clock.boot_ms().saturating_sub(confirmed_ms) > ROUTES_UNCONFIRMED_MS
+    }
+
     /// Whether routes and servers are known.
     pub fn has_tables(&self) -> bool {
         self.routing.read().is_some() && !self.registry.lock().is_empty()
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -63,9 +63,13 @@
         Propagation::Publish
     }
 
-    fn source_unavailable(&self) {}
+    fn source_unavailable(&self) {
+        self.state.record_routes_source(false);
+    }
 
-    fn source_available(&self) {}
+    fn source_available(&self) {
+        self.state.record_routes_source(true);
+    }
 }
 
 /// Applies the rows of the servers table.
