Place short calls without counts that are older than the calls

Cause: plain services report no load, so calls were placed by the routers' counts, which are 0.4 s old on average while a call takes 60 ms.

With the mean alone all routers refused and sent in turn, as the mean is as old as the counts.

--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -115,6 +115,45 @@
     Ok(rank_candidates(policy, &request, &open, &BOUNDS, draw))
 }
 
+/// Mean age of the counts of other routers when a request is placed: half a period each until they
+/// are sent, reach the other seeds and come back.
+const COUNTS_AGE_MS: f64 = 400.0;
+
+/// Share of the counted requests that must still run for their number to show whether a server is full.
+const STILL_RUNNING_MIN: f64 = 0.5;
+
+/// Replaces the other routers' requests on servers without a report by their mean, as far as they
+/// have ended since they were counted. `own` holds this router's requests on each server, and
+/// `run_ms` the mean duration of a run.
+///
+/// Answers the load of short calls at many routers: all send to the servers that were idle 400 ms
+/// ago, although the calls that made the others busy ended long before. Old counts do not make a
+/// server of short calls full either: all routers would refuse until they see the load fall, and
+/// then send again, all at once. Such a server declines what it cannot queue.
+pub fn smooth_counts(servers: &mut [Server], own: &[u32], run_ms: f64) {
+    let without_report = |server: &Server| server.view.held.is_none();
+    let others = |(server, own): (&Server, &u32)| server.view.known.saturating_sub(*own);
+    let pairs = servers.iter().zip(own).filter(|(s, _)| without_report(s));
+    let (count, sum) = pairs.fold((0, 0), |(count, sum), pair| (count + 1, sum + others(pair)));
+    if count == 0 {
+        return;
+    }
+    let mean = f64::from(sum) / f64::from(count);
+    let still_running = (-COUNTS_AGE_MS / run_ms.max(1.0)).exp();
+    let is_outdated = still_running < STILL_RUNNING_MIN;
+    for (server, own) in servers.iter_mut().zip(own) {
+        if without_report(server) {
+            let counted = f64::from(others((&*server, own)));
+            let expected = (mean + (counted - mean) * still_running).round() as u32;
+            let expected = match is_outdated {
+                true => expected.min(server.slots.saturating_sub(own + 1)),
+                false => expected,
+            };
+            server.view.known = own + expected;
+        }
+    }
+}
+
 /// Candidates with their estimated loads, in the order of `servers`.
 fn candidates(servers: &[Server]) -> Vec<Candidate<'_>> {
     let fleet = estimate_fleet(servers.iter().map(|server| (server.view, server.slots)));
--- a/src/decide/placement/tests.rs
+++ b/src/decide/placement/tests.rs
@@ -1,5 +1,8 @@
 use std::collections::VecDeque;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
 use super::*;
 
 const SLOTS: u32 = 16;
@@ -154,3 +157,87 @@
     );
     assert_eq!(late, 0, "late");
 }
+
+/// Share of calls that find all slots of their server taken, when 100 routers place 260 calls a
+/// second of 60 ms on six servers with six slots, with counts that are 400 ms old.
+fn share_of_waiting_calls(is_smoothed: bool) -> f64 {
+    const SERVERS: usize = 6;
+    const PLAIN_SLOTS: u32 = 6;
+    const CALLS: u64 = 10_000;
+    const RUN_US: u64 = 60_000;
+    const AGE_US: u64 = 400_000;
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut running: Vec<VecDeque<u64>> = vec![VecDeque::new(); SERVERS];
+    let mut counted: VecDeque<(u64, Vec<u32>)> = VecDeque::new();
+    let mut now_us = 0;
+    let mut waiting = 0;
+    for _ in 0..CALLS {
+        now_us += rng.random_range(0..2 * 3_846);
+        for ends in &mut running {
+            ends.retain(|end_us| *end_us > now_us);
+        }
+        while counted.len() > 1 && counted[1].0 + AGE_US <= now_us {
+            counted.pop_front();
+        }
+        let known = counted
+            .front()
+            .map_or(vec![0; SERVERS], |(_, counts)| counts.clone());
+        let server = |(name, known): (usize, &u32)| Server {
+            slots: PLAIN_SLOTS,
+            view: LoadView {
+                held: None,
+                net: 0,
+                known: *known,
+            },
+            ..server(name, 0)
+        };
+        let mut servers: Vec<Server> = known.iter().enumerate().map(server).collect();
+        if is_smoothed {
+            smooth_counts(&mut servers, &[0; SERVERS], 60.0);
+        }
+        let Ok(order) = place(&servers, None, rng.random()) else {
+            waiting += 1;
+            continue;
+        };
+        let chosen = servers.iter().position(|s| s.id == order[0]).unwrap();
+        let ends = &mut running[chosen];
+        let is_waiting = ends.len() >= PLAIN_SLOTS as usize;
+        waiting += u32::from(is_waiting);
+        let start_us = match is_waiting {
+            true => ends[ends.len() - PLAIN_SLOTS as usize],
+            false => now_us,
+        };
+        ends.push_back(start_us + RUN_US);
+        let counts = running.iter().map(|ends| ends.len() as u32).collect();
+        counted.push_back((now_us, counts));
+    }
+    f64::from(waiting) / CALLS as f64
+}
+
+/// Guards against short calls of many routers that all go to the servers that were idle when they
+/// were counted. The calls take 43% of the slots, so few of them need to wait.
+#[test]
+fn smooth_counts_of_short_calls_few_wait_or_are_refused() {
+    let stale = share_of_waiting_calls(false);
+    let smoothed = share_of_waiting_calls(true);
+    assert!(smoothed < 0.1, "{smoothed} wait, {stale} with stale counts");
+    assert!(smoothed * 3.0 < stale, "{smoothed} and {stale}");
+}
+
+/// The requests of long streams are still running when their counts arrive, and servers that report
+/// their load need no other estimate.
+#[test]
+fn smooth_counts_long_runs_and_reports_stay() {
+    let mut servers = vec![server(0, 4), server(1, 9)];
+    let unchanged = servers.clone();
+    smooth_counts(&mut servers, &[0, 0], 60.0);
+    assert_eq!(servers, unchanged);
+    for server in &mut servers {
+        server.view.held = None;
+    }
+    smooth_counts(&mut servers, &[1, 0], 60_000.0);
+    let known = |servers: &[Server]| -> Vec<u32> { servers.iter().map(|s| s.view.known).collect() };
+    assert_eq!(known(&servers), [4, 9]);
+    smooth_counts(&mut servers, &[1, 0], 60.0);
+    assert_eq!(known(&servers), [7, 6]);
+}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use crate::decide::placement::{AtCapacity, PromptDemand, Server, place};
+use crate::decide::placement::{AtCapacity, PromptDemand, Server, place, smooth_counts};
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
 use crate::gateway::rejection::Rejection;
@@ -36,7 +36,7 @@
             retry_after_ms: random_retry_after_ms(),
         });
     }
-    let candidates: Vec<Server> = servers
+    let mut candidates: Vec<Server> = servers
         .iter()
         .map(|server| Server {
             id: server.id.clone(),
@@ -44,6 +44,10 @@
             view: state.load.view(&server.id),
         })
         .collect();
+    if let Some(run_ms) = state.run_ms(&routed.service) {
+        let own = servers.iter().map(|s| state.load.own_requests(&s.id));
+        smooth_counts(&mut candidates, &own.collect::<Vec<_>>(), run_ms);
+    }
     let prompt = routed.prompt.map(|prompt| PromptDemand {
         shared_hash: prompt.shared_hash,
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -243,6 +243,10 @@
         };
         match attempt::send(state, routed, &server, limits).await {
             Ok(response) => {
+                if !routed.route.is_stream {
+                    let elapsed_ms = state.now_ms().saturating_sub(now_ms);
+                    state.record_run(&routed.service, elapsed_ms);
+                }
                 state.metrics.count_attempt("answered");
                 state.reachability.record_reached(&server.id);
                 let is_fault = response.status.is_server_error();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -112,6 +112,7 @@
     pub(super) registry: Mutex<Registry>,
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     overloads: Mutex<IndexMap<ServiceId, Overload>>,
+    run_ms: Mutex<IndexMap<ServiceId, f64>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
     fleet_totals: Mutex<Option<Arc<FleetTotals>>>,
@@ -179,6 +180,7 @@
             registry: Mutex::default(),
             retry_windows: Mutex::default(),
             overloads: Mutex::default(),
+            run_ms: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
             fleet_totals: Mutex::default(),
@@ -371,6 +373,19 @@
         overload.record_refusal(now_ms, remaining_ms, rand::random())
     }
 
+    /// Records how long a call without a stream took at a server of a service.
+    pub fn record_run(&self, service: &ServiceId, elapsed_ms: u64) {
+        let mut run_ms = self.run_ms.lock();
+        let elapsed_ms = elapsed_ms as f64;
+        let mean = run_ms.entry(service.clone()).or_insert(elapsed_ms);
+        *mean += (elapsed_ms - *mean) * RUN_WEIGHT;
+    }
+
+    /// Mean duration of the calls to a service; `None` before the first one.
+    pub fn run_ms(&self, service: &ServiceId) -> Option<f64> {
+        self.run_ms.lock().get(service).copied()
+    }
+
     /// State of this process as JSON, for operators.
     pub fn dump(&self) -> Value {
         let now_ms = self.now_ms();
