End stalled streams that send comments on the chats' interface too

The wait for an event moves to http::event_wait, which both request paths use. stream_engine_stalls_with_comments_continues_elsewhere shows the fault on real routers.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -19,6 +19,7 @@
 use crate::decide::recovery::StreamError;
 use crate::filter::call::Call;
 use crate::filter::cancel::CancelGuard;
+use crate::http::event_wait::EventWait;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::pool::{Connection, SendError};
 use crate::http::sse::{Decoder, Event};
@@ -111,17 +112,28 @@
         Ok(())
     }
 
-    /// Returns the next event, or how the stream broke while waiting for at most `wait`.
+    /// Returns the next event, or how the stream broke. A byte or a comment now and then does not
+    /// extend the wait.
     pub async fn next(&mut self, wait: Duration) -> Result<Event, StreamError> {
         if let Some(event) = self.first.take() {
             return Ok(event);
         }
+        let wait = EventWait {
+            stall_ms: wait.as_millis() as u64,
+            total_ms: u64::MAX,
+        };
+        let started = Instant::now();
         loop {
             let decoded = self.decoder.next_event();
             if let Some(event) = decoded.map_err(|_| StreamError::EngineError)? {
                 return Ok(event);
             }
-            match self.timer.with_timeout(wait, self.body.frame()).await {
+            let elapsed_ms = started.elapsed().as_millis() as u64;
+            let received_bytes = self.decoder.buffered_bytes() as u64;
+            let Some(remaining) = wait.remaining(elapsed_ms, received_bytes) else {
+                return Err(StreamError::Stalled);
+            };
+            match self.timer.with_timeout(remaining, self.body.frame()).await {
                 None => return Err(StreamError::Stalled),
                 Some(None) => return Err(StreamError::EndedEarly),
                 Some(Some(Err(_))) => return Err(StreamError::ConnectionLost),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,6 +20,7 @@
 use crate::gateway::reachability::{LastActivity, while_reachable};
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
+use crate::http::event_wait::EventWait;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::memory_budget::MemoryShare;
 use crate::http::pool::{Connection, SendError};
@@ -131,48 +132,9 @@
     Broken,
 }
 
-/// How long to wait for an event.
-#[derive(Debug, Clone, Copy)]
-pub struct EventWait {
-    /// Longest time without progress.
-    pub stall_ms: u64,
-    /// Longest time in all, whatever arrives.
-    pub total_ms: u64,
-}
-
-/// Rate at which a part of an event must arrive to extend the wait for its end: a tenth of the
-/// slowest stream of tokens.
-const EVENT_MIN_BYTES_PER_S: u64 = 100;
 /// Maximum size of the blocks without data before the first event.
 const LEADING_BLOCKS_MAX_BYTES: usize = 16 * 1024;
 
-impl EventWait {
-    /// A wait that ends after `total_ms`, whatever arrives.
-    pub fn until(total_ms: u64) -> Self {
-        Self {
-            stall_ms: total_ms,
-            total_ms,
-        }
-    }
-
-    /// What is left of the wait after this time.
-    fn after(self, elapsed_ms: u64) -> Self {
-        Self {
-            stall_ms: self.stall_ms.saturating_sub(elapsed_ms),
-            total_ms: self.total_ms.saturating_sub(elapsed_ms),
-        }
-    }
-
-    /// Time to wait for further bytes; `None` once it is over.
-    fn remaining(self, elapsed_ms: u64, received_bytes: u64) -> Option<Duration> {
-        const MS_PER_S: u64 = 1_000;
-        let extension_ms = received_bytes * MS_PER_S / EVENT_MIN_BYTES_PER_S;
-        let limit_ms = self.total_ms.min(self.stall_ms + extension_ms);
-        let remaining_ms = limit_ms.checked_sub(elapsed_ms)?;
-        (remaining_ms > 0).then(|| Duration::from_millis(remaining_ms))
-    }
-}
-
 /// The events of a stream from one server.
 pub struct EventSource {
     /// Server that sends the stream.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,11 +8,12 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use crate::gateway::attempt::{EventSource, EventWait, ResponseBody, StreamError};
+use crate::gateway::attempt::{EventSource, ResponseBody, StreamError};
 use crate::gateway::reachability::while_reachable;
 use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::{InFlightGuard, State};
+use crate::http::event_wait::EventWait;
 use crate::http::raw_events::RawEvent;
 use crate::http::{Body, BodyError};
 
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -73,6 +73,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether all received bytes have been decoded.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -95,6 +95,8 @@
     pub end_after_events: Option<u32>,
     /// Generates no further tokens after this number.
     pub stall_after_tokens: Option<u32>,
+    /// Sends a comment every 100 ms while no token is generated.
+    pub sends_comments: bool,
     /// Accepts requests and never responds.
     pub is_hung: bool,
     /// Rejects all attempts to resume a stream.
--- a/standins/src/engine/run.rs
+++ b/standins/src/engine/run.rs
@@ -6,6 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use futures_util::Stream;
 use hyper::body::Frame;
 use parking_lot::Mutex;
@@ -166,6 +167,9 @@
     state.log.lock().finished.push(job.attempt);
 }
 
+/// Interval of the comments that a faulty engine sends.
+const COMMENT_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+
 /// A connection that reads the events of a run.
 pub struct Reader {
     state: Arc<State>,
@@ -225,8 +229,20 @@
                     None => {}
                 }
             }
-            if self.woken.recv().await.is_err() {
-                return Some(Err(io::Error::other("run dropped")));
+            let comment_due = async {
+                match self.faults.sends_comments {
+                    true => _ = smol::Timer::after(COMMENT_INTERVAL).await,
+                    false => std::future::pending().await,
+                }
+                None
+            };
+            match async { Some(self.woken.recv().await) }
+                .or(comment_due)
+                .await
+            {
+                Some(Ok(())) => {}
+                Some(Err(_)) => return Some(Err(io::Error::other("run dropped"))),
+                None => return Some(Ok(Bytes::from_static(b": ping\n\n"))),
             }
         }
     }
--- a/tests/response_integrity.rs
+++ b/tests/response_integrity.rs
@@ -112,6 +112,20 @@
     });
 }
 
+/// Guards against a stalled engine that keeps its stream open for good with comments.
+#[test]
+fn stream_engine_stalls_with_comments_continues_elsewhere() {
+    let (env, router) = open(3, |options| options);
+    let home = home_engine(&router, "c");
+    env.engines[home].set_faults(Faults {
+        stall_after_tokens: Some(4),
+        sends_comments: true,
+        ..Faults::default()
+    });
+    let response = stream_chat(router.address, "c");
+    assert!(response.is_complete(TOKENS), "{response:?}");
+}
+
 /// Guards against a truncated response that looks complete.
 #[test]
 fn stream_all_engines_fail_ends_in_an_error_event() {
