Let the routers of a large fleet press a store that is away less

Seeds bring the content back within 1.5 s of the store's return, so routers that are no seeds now pause longer the larger the fleet is, up to 2.4 s, below the 4 s for which the store must have been stable before the bounds hold. Small fleets are unchanged. FleetTotals moves to a file of its own.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod caller_timeouts;
+pub mod fleet_totals;
 pub mod mirror;
 pub mod placement;
 pub mod prompts_in_flight;
@@ -91,22 +92,23 @@
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
         relay::spawn(state, &mirrors, stop)?;
         let settings = state.settings();
-        let starts_relayed = settings
+        let is_standby = settings
             .relay
             .as_ref()
             .is_some_and(|relay| !relay.seeds.is_empty() && !relay.seeds.contains(&relay.listen));
+        let standby_routers = is_standby.then(|| state.routers_known());
         let routes_timing = PollTiming {
             long_poll_timeout: LONG_POLL_TIMEOUT,
             pause: ROUTES_POLL_PAUSE,
-            starts_relayed,
+            standby_routers: standby_routers.clone(),
         };
         let servers_timing = PollTiming {
             long_poll_timeout: LONG_POLL_TIMEOUT,
             pause: Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR),
-            starts_relayed,
+            standby_routers,
         };
-        let watch = |source: Arc<dyn Source>, mirror: Arc<Mirror>, timing| {
-            move || watch_table(Arc::clone(&source), Arc::clone(&mirror), timing)
+        let watch = |source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming| {
+            move || watch_table(Arc::clone(&source), Arc::clone(&mirror), timing.clone())
         };
         let runtime = &state.runtime;
         runtime.spawn_supervised(watch(self.routes, routes, routes_timing));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use crate::edge::clock::Clock;
 use crate::error::Result;
 use crate::gateway::caller_timeouts::CallerTimeouts;
+use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reachability::Reachability;
@@ -69,20 +70,6 @@
     pub key: String,
 }
 
-/// Request counts of the fleet as known to this router at one point in time.
-#[derive(Debug, Clone, Default)]
-pub struct FleetTotals {
-    /// Requests of this router and of those below it in the relay tree.
-    pub subtree: Counts,
-    /// Number of routers in the subtree.
-    pub subtree_routers: u32,
-    /// Requests of all routers.
-    pub all: Counts,
-    /// Number of all routers, as far as known.
-    pub routers: u32,
-    as_of_ms: u64,
-}
-
 /// Shared state: settings, routes, servers, their load and health, and the retry budgets.
 pub struct State {
     settings: RwLock<Arc<GatewaySettings>>,
@@ -117,7 +104,7 @@
     pub(super) fleet_counts: Mutex<FleetCounts>,
     fleet_totals: Mutex<Option<Arc<FleetTotals>>>,
     applied_counts: Mutex<AppliedCounts>,
-    routers_known: AtomicU32,
+    routers_known: Arc<AtomicU32>,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
     /// Time of the last update of the routes, on the clock that counts suspended time; 0 while their
@@ -133,16 +120,6 @@
 const ROUTES_UNCONFIRMED_MS: u64 = 3_000;
 /// Weight of a new duration in the mean of a service's calls.
 const RUN_WEIGHT: f64 = 0.1;
-/// Counts of the other routers that the load estimates include.
-#[derive(Debug, Default)]
-struct AppliedCounts {
-    counts: Counts,
-    as_of_ms: Option<u64>,
-}
-
-/// Interval at which sums over all links are computed at most: a router with 32 links receives a
-/// message every 6 ms, and a sum over 3,000 servers takes a fifth of a millisecond.
-const TOTALS_REFRESH_MS: u64 = 50;
 /// Number of routers assumed until a link reports it; the largest known site has 87.
 const ROUTERS_DEFAULT: u32 = 100;
 /// Router id under which the requests of all other routers are counted in the load table.
@@ -185,7 +162,7 @@
             fleet_counts: Mutex::default(),
             fleet_totals: Mutex::default(),
             applied_counts: Mutex::default(),
-            routers_known: AtomicU32::new(0),
+            routers_known: Arc::default(),
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
             routes_confirmed_ms: AtomicU64::new(0),
@@ -270,6 +247,11 @@
             .fetch_max(fleet.router_count(), Ordering::Relaxed);
     }
 
+    /// Number of routers that a link has reported, 0 before the first report; shared with the state.
+    pub(super) fn routers_known(&self) -> Arc<AtomicU32> {
+        Arc::clone(&self.routers_known)
+    }
+
     /// Number of routers that share fleet-wide limits; the last known number while no link reports
     /// one.
     pub fn router_count(&self) -> usize {
@@ -483,11 +465,6 @@
     }
 }
 
-/// Whether a value of `as_of_ms` is as old as the refresh interval.
-fn is_due(as_of_ms: u64, now_ms: u64) -> bool {
-    now_ms.saturating_sub(as_of_ms) >= TOTALS_REFRESH_MS
-}
-
 /// Guard of one request in flight; dropping it ends the count.
 pub struct InFlightGuard(Arc<State>);
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -86,14 +87,15 @@
 }
 
 /// How often a source is polled.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct PollTiming {
     /// Longest time for which the source may delay a response while nothing changes.
     pub long_poll_timeout: Duration,
     /// Pause after each response, so that changes are read in batches.
     pub pause: Duration,
-    /// Whether another router is expected to relay the table soon after the start.
-    pub starts_relayed: bool,
+    /// Number of routers that read the source when no other router relays the table to them, as far
+    /// as known; `None` for a router that always reads it.
+    pub standby_routers: Option<Arc<AtomicU32>>,
 }
 
 /// First pause after a failure, doubled for each consecutive one.
@@ -101,6 +103,12 @@
 /// Longest pause after a failure: once a store answers again, changes must still take effect
 /// within the shortest bound on a change.
 const RETRY_MAX_MS: u64 = 600;
+/// Number of routers from which those that are no seeds pause longer. All try the store while it is
+/// away, and the seeds bring back its content anyway.
+const RETRY_ROUTERS: u64 = 32;
+/// Longest such pause, as a multiple: 2.4 s is below the time for which a store must have been stable
+/// before the bounds hold again, 4 s on the smallest site with so many routers.
+const RETRY_FACTOR_MAX: u64 = 4;
 /// Interval at which a router with a relayed table checks whether it must read the source itself.
 const STANDBY_POLL: Duration = Duration::from_millis(200);
 /// Interval at which a router that has just started checks whether the table is relayed.
@@ -127,7 +135,7 @@
 /// Watches one source and applies its changes to `mirror`; pauses while another router relays the
 /// table. Never returns.
 pub async fn watch_table(source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming) {
-    if timing.starts_relayed {
+    if timing.standby_routers.is_some() {
         wait_for_relay(&mirror).await;
     }
     let mut failures = 0;
@@ -173,7 +181,9 @@
                     );
                 }
                 mirror.mark_unavailable();
-                smol::Timer::after(backoff(failures)).await;
+                let routers = timing.standby_routers.as_ref();
+                let routers = routers.map_or(1, |routers| routers.load(Ordering::Relaxed));
+                smol::Timer::after(backoff(failures, routers)).await;
             }
         }
     }
@@ -181,8 +191,12 @@
 
 /// Exponential backoff with jitter: half to all of the doubled step, so that routers that failed
 /// at the same time do not retry at the same time.
-fn backoff(failures: u32) -> Duration {
+fn backoff(failures: u32, routers: u32) -> Duration {
+    let factor = (u64::from(routers) / RETRY_ROUTERS).clamp(1, RETRY_FACTOR_MAX);
     let step_ms = RETRY_FIRST_MS << failures.saturating_sub(1).min(4);
-    let step_ms = step_ms.min(RETRY_MAX_MS);
+    let step_ms = step_ms.min(RETRY_MAX_MS * factor);
     Duration::from_millis(rand::rng().random_range(step_ms / 2..=step_ms))
 }
+
+#[cfg(test)]
+mod tests;
