--- a/src/decide/relay_tree.rs
+++ b/src/decide/relay_tree.rs
@@ -27,8 +27,8 @@
 
 /// Smallest degree. It keeps the tree shallow where links are narrow.
 const DEGREE_MIN: usize = 4;
-/// Largest degree. At 200 ms between messages, it keeps the share of a small core that a router
-/// spends on links below 1%.
+/// Largest degree. It bounds the messages that a router with a small core handles on fast links: 160 a
+/// second in each direction.
 const DEGREE_MAX: usize = 32;
 /// Traffic over one link at the highest rate of counts, in kbit/s: 150 counts of 11 bytes in each
 /// message, and five messages a second.
--- a/src/gateway/fleet_totals.rs
+++ b/src/gateway/fleet_totals.rs
@@ -25,7 +25,7 @@
 }
 
 /// Interval at which sums over all links are computed at most: a router with 32 links receives a
-/// message every 6 ms, and a sum over 3,000 servers takes a fifth of a millisecond.
+/// message every 6 ms, and each sum passes over all servers.
 const TOTALS_REFRESH_MS: u64 = 50;
 
 /// Whether a value of `as_of_ms` is as old as the refresh interval.
--- a/src/gateway/relay/row_codec.rs
+++ b/src/gateway/relay/row_codec.rs
@@ -31,8 +31,8 @@
 
 /// Maximum length of a deflated batch: half of the largest frame.
 const BATCH_MAX_BYTES: usize = 128 * 1024;
-/// Minimum number of rows that are packed: the entries of servers resemble each other and shrink to a
-/// sixth, which pays from a few on.
+/// Minimum number of rows that are packed: the entries of servers resemble each other, so a batch
+/// shrinks from a few rows on.
 const PACK_MIN_ROWS: usize = 8;
 /// Size of rows from which a batch is closed, before it is deflated.
 const BATCH_TARGET_BYTES: usize = 512 * 1024;
--- a/src/gateway/watch/tests.rs
+++ b/src/gateway/watch/tests.rs
@@ -12,7 +12,7 @@
     calls
 }
 
-/// Guards against a fleet that presses a store that is away: 195 routers made 8,640 calls in 10 s.
+/// Guards against a fleet that presses a store that is away: 195 routers made 8,640 calls on one day.
 #[test]
 fn backoff_large_fleet_calls_grow_slower_than_its_size() {
     let (small, large) = (calls_in(60, 7), calls_in(60, 195));
--- a/src/http/event_wait.rs
+++ b/src/http/event_wait.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// Rate at which a part of an event must arrive to extend the wait for its end: a tenth of the
-/// slowest stream of tokens.
+/// Rate at which a part of an event must arrive to extend the wait for its end. A byte now and
+/// then stays far below it, and an event of some tokens needs under a second.
 const EVENT_MIN_BYTES_PER_S: u64 = 100;
 
 /// How long to wait for an event. Answers the load of a server that stalls, but sends a byte or a
--- a/src/http/memory_budget.rs
+++ b/src/http/memory_budget.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Bytes that each response may hold whatever the others hold, so that usual responses are never
-/// refused: 80 times the size of the largest usual one.
+/// refused: over ten times the largest plain response on the known sites, 4,800 bytes.
 pub const FREE_BYTES: usize = 64 * 1024;
 
 /// A bound that responses share. Clones share it.
