Log crashes of servers with the content of the request that ran

On-call engineers could not tell a request that ends the servers that run it from servers that end by themselves or connections that are only reset: no line named a request by its content, and none said that its server had ended.

attempt_failed now has the fingerprint of method, path, body and team. The stand-in server of the platform crashes under a given body or prompt part, and starts again under a new id.

--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -35,6 +35,21 @@
         let seed = xxhash_rust::xxh3::xxh3_64(format!("{method} {path}").as_bytes());
         Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
     }
+
+    /// Limits the fingerprint to the requests of one caller, so that no caller can get another's
+    /// requests refused.
+    ///
+    /// ```
+    /// use jujubeusher::decide::strikes::Fingerprint;
+    /// let any = Fingerprint::of("GET", "/a", b"");
+    /// assert_ne!(any.of_caller("team-1"), any.of_caller("team-2"));
+    /// ```
+    pub fn of_caller(self, caller: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
+            caller.as_bytes(),
+            self.0,
+        ))
+    }
 }
 
 impl std::fmt::Display for Fingerprint {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod caller_timeouts;
+pub mod crash;
 pub mod fleet_totals;
 pub mod mirror;
 pub mod placement;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -12,9 +12,11 @@
 
 use crate::config::routing::{KeyOwner, Route, RoutingTable};
 use crate::decide::registry::Registration;
+use crate::decide::strikes::Fingerprint;
 use crate::gateway::attempt::{
     self, AttemptLimits, Failure, FailureKind, ResponseBody, ServerResponse,
 };
+use crate::gateway::crash;
 use crate::gateway::placement;
 use crate::gateway::protocol::RequestHead;
 use crate::gateway::rejection::Rejection;
@@ -22,7 +24,7 @@
 use crate::gateway::state::State;
 use crate::gateway::stream;
 use crate::http::{Body, full_body};
-use crate::ids::RunState;
+use crate::ids::{RunState, TeamId};
 use crate::runtime::with_timeout;
 
 /// Handles one request from arrival to response.
@@ -97,14 +99,17 @@
     })?;
     let wait_ms = head.timeout_ms.unwrap_or(route.timeout_ms);
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let team = owner.map(|owner| owner.team.clone());
+    let fingerprint = Fingerprint::of(parts.method.as_str(), path, &body);
     Ok(RoutedRequest {
+        fingerprint: fingerprint.of_caller(team.as_ref().map_or("", TeamId::as_str)),
         id,
         method: parts.method,
         path: path.to_owned(),
         headers: parts.headers,
         body,
         service: service.clone(),
-        team: owner.map(|owner| owner.team.clone()),
+        team,
         priority: owner
             .and_then(|owner| owner.priority)
             .unwrap_or(route.priority),
@@ -235,6 +240,7 @@
             Err(rejection) => return fallback.ok_or_else(|| placement_failure(history, rejection)),
         };
         history.servers.push(server.id.clone());
+        history.last_sent_ms = now_ms;
         let limits = AttemptLimits {
             first_event_ms: first_event_timeout_ms(routed, history, remaining_ms),
             remaining_ms,
@@ -271,6 +277,9 @@
             }
             Err(failure) => {
                 record_failure(state, routed, history, &server, &failure);
+                if failure.kind == FailureKind::Broken {
+                    crash::check(state, routed, &server, history.last_sent_ms).await;
+                }
                 if !may_retry(state, routed, history, &failure) {
                     return fallback.ok_or_else(|| failure_rejection(history, &failure));
                 }
@@ -306,8 +315,9 @@
     failure: &Failure,
 ) {
     log::info!(
-        "event=attempt_failed id={} server={} kind={} reason=\"{}\" ms={}",
+        "event=attempt_failed id={} fingerprint={} server={} kind={} reason=\"{}\" ms={}",
         routed.id,
+        routed.fingerprint,
         server.id,
         failure.kind.as_str(),
         failure.reason,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderMap;
 
 use crate::config::routing::Route;
+use crate::decide::strikes::Fingerprint;
 use crate::gateway::protocol::Prompt;
 use crate::ids::{Repeat, RequestId, ServerId, ServiceId, TeamId};
 
@@ -23,6 +24,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Hash of method, path, body and team; equal for repetitions of the request.
+    pub fingerprint: Fingerprint,
     /// Route that matches the host and path.
     pub route: Arc<Route>,
     /// Service chosen from the route's destinations.
@@ -62,4 +65,6 @@
     pub possible_runs: u32,
     /// Number of attempts that were delivered to a server.
     pub delivered: u32,
+    /// Monotonic time in ms at which the last attempt was sent.
+    pub last_sent_ms: u64,
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 
 use crate::gateway::attempt::{EventSource, ResponseBody, StreamError};
+use crate::gateway::crash;
 use crate::gateway::reachability::while_reachable;
 use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
@@ -152,7 +153,12 @@
 
     /// Resumes the stream at another server after an error, if the route allows it.
     async fn recover(&mut self, cause: StreamError) -> Result<(), BodyError> {
-        let server = self.source.as_ref().map(|source| source.server.id.clone());
+        let registration = self.source.as_ref().map(|source| source.server.clone());
+        let server = registration.as_ref().map(|server| server.id.clone());
+        if let Some(registration) = registration.filter(|_| cause == StreamError::Broken) {
+            let sent_ms = self.history.last_sent_ms;
+            crash::check(&self.state, &self.routed, &registration, sent_ms).await;
+        }
         let can_resume =
             self.routed.route.can_resume && may_repeat(&self.state, &self.routed, &self.history);
         log::info!(
--- a/src/observe/explain.rs
+++ b/src/observe/explain.rs
@@ -212,6 +212,10 @@
             line.field("reason").unwrap_or("-")
         ));
     }
+    if let Some(line) = last_line(own, "crashed") {
+        let server = line.field("server").unwrap_or("-");
+        parts.push(format!("{server} crashed while it ran the request"));
+    }
     let servers = context
         .iter()
         .filter(|line| line.event().starts_with("server_"));
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -41,6 +42,18 @@
     Slow(Duration),
 }
 
+/// Content of a request under which the server crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashTrigger {
+    /// The body contains this text.
+    Body(String),
+    /// The prompt has a part with this id.
+    PromptPart(String),
+}
+
+/// Time for which a server runs a request that crashes it.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// One executed request.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -64,12 +77,29 @@
     runs: Vec<Run>,
     queued_faults: VecDeque<Fault>,
     declined: usize,
+    crash_triggers: Vec<CrashTrigger>,
+    crashes: usize,
+}
+
+impl State {
+    fn is_crashed_by(&self, headers: &HeaderMap, body: &[u8]) -> bool {
+        let parts = headers.get("x-prefix-hash").and_then(|v| v.to_str().ok());
+        let mut parts = parts.unwrap_or_default().split(',');
+        let body = String::from_utf8_lossy(body);
+        self.crash_triggers.iter().any(|trigger| match trigger {
+            CrashTrigger::Body(text) => body.contains(text.as_str()),
+            CrashTrigger::PromptPart(id) => {
+                parts.any(|part| part.split(':').next() == Some(id.as_str()))
+            }
+        })
+    }
 }
 
-/// Handle of a running backend server.
+/// Handle of a backend server.
 #[derive(Debug)]
 pub struct PlatformBackend {
     server: Server,
+    stop: Receiver<()>,
     state: Arc<Mutex<State>>,
 }
 
@@ -82,13 +112,58 @@
 impl PlatformBackend {
     /// Starts a server with the instance id `id`.
     pub fn bind(address: SocketAddr, id: &str) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::default()));
-        let shared = Arc::clone(&state);
-        let id: Arc<str> = Arc::from(id);
-        let server = Server::bind(address, move |request| {
-            handle_request(Arc::clone(&id), Arc::clone(&shared), request)
+        Self::bind_with_state(address, id, Arc::default())
+    }
+
+    fn bind_with_state(
+        address: SocketAddr,
+        id: &str,
+        state: Arc<Mutex<State>>,
+    ) -> io::Result<Self> {
+        // Closing the channel stops the server, from its own handler as well.
+        let (sender, stop) = async_channel::bounded::<()>(1);
+        let incarnation = Incarnation {
+            id: Arc::from(id),
+            state: Arc::clone(&state),
+            stop: stop.clone(),
+            _keep_open: sender,
+        };
+        let server = Server::bind_stoppable(address, stop.clone(), move |request| {
+            handle_request(incarnation.clone(), request)
         })?;
-        Ok(Self { server, state })
+        Ok(Self {
+            server,
+            stop,
+            state,
+        })
+    }
+
+    /// Makes the server crash under each request with this content, after restarts too: it closes
+    /// its listener and all connections.
+    pub fn crash_under(&self, trigger: CrashTrigger) {
+        self.state.lock().crash_triggers.push(trigger);
+    }
+
+    /// Crashes the server without a cause in a request.
+    pub fn crash(&self) {
+        self.stop.close();
+    }
+
+    /// Whether the server has crashed and not been restarted.
+    pub fn is_crashed(&self) -> bool {
+        self.stop.is_closed()
+    }
+
+    /// Number of crashes under a request.
+    pub fn crashes(&self) -> usize {
+        self.state.lock().crashes
+    }
+
+    /// Starts a crashed server again at its address, with a new instance id.
+    pub fn restart(&mut self, id: &str) -> io::Result<()> {
+        let started = Self::bind_with_state(self.address(), id, Arc::clone(&self.state))?;
+        *self = started;
+        Ok(())
     }
 
     /// Listening address, with the actual port.
@@ -117,11 +192,19 @@
     }
 }
 
-async fn handle_request(
+/// One run of the server, from its start to its crash.
+#[derive(Debug, Clone)]
+struct Incarnation {
     id: Arc<str>,
     state: Arc<Mutex<State>>,
-    request: Request<Incoming>,
-) -> Response<Body> {
+    stop: Receiver<()>,
+    _keep_open: Sender<()>,
+}
+
+async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
+    let Incarnation {
+        id, state, stop, ..
+    } = incarnation;
     let (parts, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
         return close_connection();
@@ -154,11 +237,21 @@
         .and_then(|value| value.to_str().ok());
     let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
     let request_id = parts.headers.get("x-request-id").cloned();
+    let body = body.to_bytes();
+    let is_crashing = state.lock().is_crashed_by(&parts.headers, &body);
     state.lock().runs.push(Run {
         target: format!("{} {}", parts.method, parts.uri),
         headers: parts.headers,
-        body: body.to_bytes(),
+        body,
     });
+    if is_crashing {
+        Timer::after(CRASH_DELAY).await;
+        // Several requests may crash one incarnation.
+        if stop.close() {
+            state.lock().crashes += 1;
+        }
+        return std::future::pending().await;
+    }
     if let Some(Fault::Slow(delay)) = fault {
         Timer::after(delay).await;
     }
