--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -98,6 +98,7 @@
 /// Handle of a backend server.
 #[derive(Debug)]
 pub struct PlatformBackend {
+    id: String,
     server: Server,
     stop: Receiver<()>,
     state: Arc<Mutex<State>>,
@@ -132,12 +133,18 @@
             handle_request(incarnation.clone(), request)
         })?;
         Ok(Self {
+            id: id.to_owned(),
             server,
             stop,
             state,
         })
     }
 
+    /// Instance id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Makes the server crash under each request with this content, after restarts too: it closes
     /// its listener and all connections.
     pub fn crash_under(&self, trigger: CrashTrigger) {
