--- a/src/app.rs
+++ b/src/app.rs
@@ -88,7 +88,9 @@
         let rules = &self.config.current().inventory.rules;
         StrikePolicy {
             strikes_max: rules.strikes_max,
+            proven_strikes_max: rules.strikes_max,
             quarantine_ms: rules.quarantine_ms,
+            common_cause_ms: 0,
         }
     }
 
--- a/src/control/strike_sync.rs
+++ b/src/control/strike_sync.rs
@@ -60,6 +60,8 @@
         fingerprint: Fingerprint(row.fingerprint),
         server: row.server.clone(),
         count: row.count,
+        ran_ms: 0,
+        is_proven: false,
         age_ms: policy.quarantine_ms.saturating_sub(row.remaining_ms),
     }
 }
--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -13,7 +13,9 @@
 
 use crate::config::inventory::{BackendServer, Target};
 use crate::decide::rendezvous::score;
-use crate::decide::strikes::{Fingerprint, StrikeDelta, StrikePolicy, StrikeStatus, StrikeTracker};
+use crate::decide::strikes::{
+    Evidence, Fingerprint, Quarantine, StrikeDelta, StrikePolicy, StrikeStatus, StrikeTracker,
+};
 use crate::http::client::{CallError, Client};
 use crate::http::pool::connect;
 use crate::ids::{RouterId, ServerId};
@@ -148,7 +150,7 @@
         self.notify();
         log::warn!(
             "event=strike fingerprint={fingerprint} server={server} ran_ms={ran_ms} standing={}",
-            status_name(status),
+            status.name(),
         );
         status
     }
@@ -185,22 +187,77 @@
         self.0.tracker.lock().drain_outgoing(now_ms)
     }
 
-    /// Applies the changes that another router published.
-    pub fn apply_remote(&self, deltas: &[StrikeDelta], now_ms: u64, policy: StrikePolicy) {
+    /// Applies the changes that another router published; returns those that were new.
+    pub fn apply_remote(
+        &self,
+        deltas: &[StrikeDelta],
+        now_ms: u64,
+        policy: StrikePolicy,
+    ) -> Vec<StrikeDelta> {
         let mut tracker = self.0.tracker.lock();
+        let mut changed = Vec::new();
         for delta in deltas {
             if tracker.apply_remote(delta, now_ms, policy) {
+                changed.push(delta.clone());
                 log::warn!(
                     "event=strike_from_peer fingerprint={} server={} standing={}",
                     delta.fingerprint,
                     delta.server,
-                    status_name(tracker.status(delta.fingerprint, now_ms, policy)),
+                    tracker.status(delta.fingerprint, now_ms, policy).name(),
+                );
+            }
+        }
+        self.0
+            .is_active
+            .store(!tracker.is_empty(), Ordering::Release);
+        changed
+    }
+
+    /// Applies quarantines from another router or from before a restart; returns those that begin
+    /// or extend one.
+    pub fn apply_quarantines(&self, quarantines: &[Quarantine], now_ms: u64) -> Vec<Quarantine> {
+        let mut tracker = self.0.tracker.lock();
+        let mut changed = Vec::new();
+        for quarantine in quarantines {
+            if tracker.apply_quarantine(*quarantine, now_ms) {
+                changed.push(*quarantine);
+                log::warn!(
+                    "event=quarantine_learned fingerprint={} left_ms={}",
+                    quarantine.fingerprint,
+                    quarantine.left_ms,
                 );
             }
         }
         self.0
             .is_active
             .store(!tracker.is_empty(), Ordering::Release);
+        changed
+    }
+
+    /// Quarantines in force.
+    pub fn quarantines(&self, now_ms: u64) -> Vec<Quarantine> {
+        match self.is_active() {
+            true => self.0.tracker.lock().quarantines(now_ms),
+            false => Vec::new(),
+        }
+    }
+
+    /// Crashes that count against a request, oldest first.
+    pub fn evidence(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<Evidence> {
+        self.0.tracker.lock().evidence(fingerprint, now_ms)
+    }
+
+    /// Strikes that count and quarantines in force, for a router that has just been linked.
+    pub fn snapshot(&self, now_ms: u64) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+        match self.is_active() {
+            true => self.0.tracker.lock().snapshot(now_ms),
+            false => (Vec::new(), Vec::new()),
+        }
+    }
+
+    /// Remembers that a server completed a request, which proves it in case of later strikes.
+    pub fn remember_completion(&self, fingerprint: Fingerprint) {
+        self.0.tracker.lock().remember_completion(fingerprint);
     }
 
     /// Queries and records the incarnation of an engine at its first use, so that after a broken
@@ -285,11 +342,3 @@
     let report: Option<LoadReport> = serde_json::from_slice(&response.body).ok();
     Ok(report.map(|report| report.incarnation))
 }
-
-fn status_name(status: StrikeStatus) -> &'static str {
-    match status {
-        StrikeStatus::Clear => "clear",
-        StrikeStatus::Struck => "struck",
-        StrikeStatus::Quarantined { .. } => "quarantined",
-    }
-}
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -3,11 +3,15 @@
 //! When a server crashes, each request that it was running gets a strike. A struck request
 //! then runs in isolation, so that a further crash can be attributed to it; a request with too
 //! many strikes is quarantined, which means that it is refused.
+//!
+//! A request that servers have completed before is proven. It needs more strikes, and strikes that
+//! may have a common cause count once: a popular request runs on many of the servers that a failure
+//! of their availability zone ends together.
 
 #[cfg(test)]
 mod tests;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServerId;
@@ -16,6 +20,19 @@
 const ENTRIES_MAX: usize = 10_000;
 /// Maximum number of changes queued for peers; the oldest are dropped first.
 const OUTGOING_MAX: usize = 4_096;
+/// Maximum number of strikes in a snapshot, the newest ones: 40 KB on a link between routers.
+const SNAPSHOT_MAX: usize = 1_000;
+/// Number of completed requests that are remembered as proven, in each of two generations.
+const PROVEN_GENERATION_MAX: usize = 4_096;
+/// Number of entries that are evicted together, as each eviction visits all of them.
+const EVICTED_AT_ONCE: usize = 1_000;
+/// Interval between two evictions of expired entries.
+const EVICTION_INTERVAL_MS: u64 = 1_000;
+/// Maximum number of times that a quarantine is doubled.
+const DOUBLINGS_MAX: u32 = 6;
+/// Smallest extension of a quarantine that is passed on. Transfer times make the same quarantine
+/// end at slightly different times on different routers.
+const EXTENSION_MIN_MS: u64 = 2_000;
 
 /// Hash that identifies a request by its content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -63,8 +80,20 @@
 pub struct StrikePolicy {
     /// Number of strikes at which a request is quarantined.
     pub strikes_max: u32,
-    /// How long a strike counts, and how long a request is quarantined.
+    /// The same for a request that servers have completed before.
+    pub proven_strikes_max: u32,
+    /// How long a strike counts, and how long a request is quarantined for the first time.
     pub quarantine_ms: u64,
+    /// Servers that end within this time of each other, under runs of a proven request that had
+    /// begun before, may have a common cause.
+    pub common_cause_ms: u64,
+}
+
+impl StrikePolicy {
+    /// Longest time for which a request is quarantined, after many quarantines.
+    pub fn quarantine_max_ms(&self) -> u64 {
+        self.quarantine_ms << DOUBLINGS_MAX
+    }
 }
 
 /// Whether and how a request may run.
@@ -81,6 +110,17 @@
     },
 }
 
+impl StrikeStatus {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Clear => "clear",
+            Self::Struck => "struck",
+            Self::Quarantined { .. } => "quarantined",
+        }
+    }
+}
+
 /// A change that a router sends to the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StrikeDelta {
@@ -91,13 +131,36 @@
     /// Crashes of this server under the request that the sender knows of; 0 when the server has
     /// completed the request.
     pub count: u32,
+    /// Time for which the server had run the request when it crashed; 0 if unknown.
+    pub ran_ms: u64,
+    /// Whether the sender knows that a server completed the request before.
+    pub is_proven: bool,
     /// Time from the change until the sender sent it.
     pub age_ms: u64,
 }
 
+/// A quarantine and its remaining time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quarantine {
+    /// Request that is refused.
+    pub fingerprint: Fingerprint,
+    /// Remaining time.
+    pub left_ms: u64,
+}
+
+/// A crash that counts against a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evidence {
+    /// Server that crashed.
+    pub server: ServerId,
+    /// Time since the crash.
+    pub age_ms: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Strike {
     server: ServerId,
+    started_ms: u64,
     at_ms: u64,
     /// Whether a server has completed the request since.
     is_stale: bool,
@@ -106,23 +169,93 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct Entry {
     strikes: Vec<Strike>,
+    is_proven: bool,
     quarantined_until_ms: u64,
+    /// Number of quarantines so far. After the first, one more strike is enough for the next.
+    quarantines: u32,
+}
+
+impl Entry {
+    fn is_quarantined(&self, now_ms: u64) -> bool {
+        self.quarantined_until_ms > now_ms
+    }
+
+    /// Number of strikes that count after one at `server`. Strikes from before a completion no
+    /// longer count together with those from other servers, but still with further ones from the
+    /// same server.
+    fn counted_strikes(&self, server: &ServerId, policy: StrikePolicy) -> u32 {
+        let strikes = self.strikes.iter();
+        let strikes = strikes.filter(|strike| !strike.is_stale || strike.server == *server);
+        if !self.is_proven {
+            return strikes.count() as u32;
+        }
+        let mut count = 0;
+        let mut last: Option<&Strike> = None;
+        for strike in strikes {
+            let has_own_cause = |last: &Strike| {
+                strike.started_ms >= last.at_ms
+                    || strike.at_ms >= last.at_ms + policy.common_cause_ms
+            };
+            if last.is_none_or(has_own_cause) {
+                count += 1;
+                last = Some(strike);
+            }
+        }
+        count
+    }
+
+    fn strikes_max(&self, policy: StrikePolicy) -> u32 {
+        match (self.quarantines, self.is_proven) {
+            (1.., _) => 1,
+            (0, true) => policy.proven_strikes_max,
+            (0, false) => policy.strikes_max,
+        }
+    }
+
+    /// Begins a quarantine with the newest strike.
+    fn quarantine(&mut self, policy: StrikePolicy) {
+        let at_ms = self.strikes.last().map_or(0, |strike| strike.at_ms);
+        let doublings = self.quarantines.min(DOUBLINGS_MAX);
+        self.quarantined_until_ms = at_ms + (policy.quarantine_ms << doublings);
+        self.quarantines += 1;
+    }
 }
 
 #[derive(Debug, Clone)]
 struct Outgoing {
-    fingerprint: Fingerprint,
-    server: ServerId,
-    count: u32,
+    delta: StrikeDelta,
     at_ms: u64,
 }
 
+/// The most recent fingerprints in two generations: when the newer one is full, it replaces the
+/// older one.
+#[derive(Debug, Default)]
+struct RecentFingerprints {
+    newer: IndexSet<Fingerprint>,
+    older: IndexSet<Fingerprint>,
+}
+
+impl RecentFingerprints {
+    fn insert(&mut self, fingerprint: Fingerprint) {
+        if self.newer.len() >= PROVEN_GENERATION_MAX {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(fingerprint);
+    }
+
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
+    }
+}
+
 /// Strikes known to a router, its own and those received from other routers.
 #[derive(Debug, Default)]
 pub struct StrikeTracker {
     entries: IndexMap<Fingerprint, Entry>,
     isolated: Vec<(Fingerprint, ServerId)>,
     outgoing: Vec<Outgoing>,
+    proven: RecentFingerprints,
+    evicted_ms: u64,
 }
 
 impl StrikeTracker {
@@ -143,10 +276,54 @@
 
     /// Number of requests in quarantine.
     pub fn quarantined_count(&self, now_ms: u64) -> usize {
-        let is_refused = |entry: &&Entry| entry.quarantined_until_ms > now_ms;
+        let is_refused = |entry: &&Entry| entry.is_quarantined(now_ms);
         self.entries.values().filter(is_refused).count()
     }
 
+    /// Quarantines in force.
+    pub fn quarantines(&self, now_ms: u64) -> Vec<Quarantine> {
+        let entries = self.entries.iter();
+        let refused = entries.filter(|(_, entry)| entry.is_quarantined(now_ms));
+        refused
+            .map(|(fingerprint, entry)| Quarantine {
+                fingerprint: *fingerprint,
+                left_ms: entry.quarantined_until_ms - now_ms,
+            })
+            .collect()
+    }
+
+    /// Crashes that count against a request, oldest first.
+    pub fn evidence(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<Evidence> {
+        let entry = self.entries.get(&fingerprint);
+        let strikes = entry.into_iter().flat_map(|entry| &entry.strikes);
+        strikes
+            .map(|strike| Evidence {
+                server: strike.server.clone(),
+                age_ms: now_ms.saturating_sub(strike.at_ms),
+            })
+            .collect()
+    }
+
+    /// Strikes that count and quarantines in force, for a router that has just been linked.
+    pub fn snapshot(&self, now_ms: u64) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+        let entries = self.entries.iter();
+        let strikes = entries.flat_map(|(fingerprint, entry)| {
+            let strikes = entry.strikes.iter().filter(|strike| !strike.is_stale);
+            strikes.map(move |strike| StrikeDelta {
+                fingerprint: *fingerprint,
+                server: strike.server.clone(),
+                count: self.strike_count(*fingerprint, &strike.server),
+                ran_ms: strike.at_ms - strike.started_ms,
+                is_proven: entry.is_proven,
+                age_ms: now_ms.saturating_sub(strike.at_ms),
+            })
+        });
+        let mut strikes: Vec<StrikeDelta> = strikes.collect();
+        strikes.sort_by_key(|strike| strike.age_ms);
+        strikes.truncate(SNAPSHOT_MAX);
+        (strikes, self.quarantines(now_ms))
+    }
+
     /// Returns whether and how a request may run now.
     pub fn status(
         &self,
@@ -157,7 +334,7 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return StrikeStatus::Clear;
         };
-        if entry.quarantined_until_ms > now_ms {
+        if entry.is_quarantined(now_ms) {
             return StrikeStatus::Quarantined {
                 left_ms: entry.quarantined_until_ms - now_ms,
             };
@@ -187,19 +364,46 @@
             strikes.any(|strike| strike.server == *server && strike.at_ms >= started_ms)
         });
         if !is_known {
-            self.add_strike(fingerprint, server, now_ms, now_ms, policy);
-            let count = self.strike_count(fingerprint, server);
-            self.queue_delta(fingerprint, server, count, now_ms);
+            let is_proven = self.proven.contains(fingerprint);
+            let strike = Strike {
+                server: server.clone(),
+                started_ms,
+                at_ms: now_ms,
+                is_stale: false,
+            };
+            self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
+            let delta = StrikeDelta {
+                fingerprint,
+                server: server.clone(),
+                count: self.strike_count(fingerprint, server),
+                ran_ms,
+                is_proven,
+                age_ms: 0,
+            };
+            self.queue_delta(delta, now_ms);
         }
         self.status(fingerprint, now_ms, policy)
     }
 
+    /// Remembers that a server completed a request, which proves it in case of later strikes.
+    pub fn remember_completion(&mut self, fingerprint: Fingerprint) {
+        self.proven.insert(fingerprint);
+    }
+
     /// Records that a server completed a request. This removes the request's strikes from that
     /// server and marks those from other servers as stale, as the request does not crash every
     /// server.
     pub fn on_completed(&mut self, fingerprint: Fingerprint, server: &ServerId, now_ms: u64) {
-        if self.apply_completion(fingerprint, server) {
-            self.queue_delta(fingerprint, server, 0, now_ms);
+        if self.apply_completion(fingerprint, server, now_ms) {
+            let delta = StrikeDelta {
+                fingerprint,
+                server: server.clone(),
+                count: 0,
+                ran_ms: 0,
+                is_proven: true,
+                age_ms: 0,
+            };
+            self.queue_delta(delta, now_ms);
         }
     }
 
@@ -207,7 +411,7 @@
     pub fn apply_remote(&mut self, delta: &StrikeDelta, now_ms: u64, policy: StrikePolicy) -> bool {
         let (fingerprint, server) = (delta.fingerprint, &delta.server);
         if delta.count == 0 {
-            return self.apply_completion(fingerprint, server);
+            return self.apply_completion(fingerprint, server, now_ms);
         }
         let at_ms = now_ms.saturating_sub(delta.age_ms);
         if at_ms + policy.quarantine_ms <= now_ms {
@@ -216,21 +420,39 @@
         // `count` is a total, so a crash that both routers observed is counted once.
         let missing = delta.count.min(policy.strikes_max);
         let missing = missing.saturating_sub(self.strike_count(fingerprint, server));
+        let is_proven = delta.is_proven || self.proven.contains(fingerprint);
         for _ in 0..missing {
-            self.add_strike(fingerprint, server, at_ms, now_ms, policy);
+            let strike = Strike {
+                server: server.clone(),
+                started_ms: at_ms.saturating_sub(delta.ran_ms),
+                at_ms,
+                is_stale: false,
+            };
+            self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
         }
         missing > 0
     }
 
+    /// Applies a quarantine from another router or from before a restart; returns whether it
+    /// begins or extends one.
+    pub fn apply_quarantine(&mut self, quarantine: Quarantine, now_ms: u64) -> bool {
+        let until_ms = now_ms + quarantine.left_ms;
+        let entry = self.entries.entry(quarantine.fingerprint).or_default();
+        let is_new = until_ms >= entry.quarantined_until_ms + EXTENSION_MIN_MS;
+        if is_new {
+            entry.quarantined_until_ms = until_ms;
+            entry.quarantines = entry.quarantines.max(1);
+        }
+        is_new
+    }
+
     /// Removes and returns the changes that this router observed and has not yet sent to peers.
     pub fn drain_outgoing(&mut self, now_ms: u64) -> Vec<StrikeDelta> {
         self.outgoing
             .drain(..)
             .map(|change| StrikeDelta {
-                fingerprint: change.fingerprint,
-                server: change.server,
-                count: change.count,
                 age_ms: now_ms.saturating_sub(change.at_ms),
+                ..change.delta
             })
             .collect()
     }
@@ -241,43 +463,41 @@
         strikes.map_or(0, |strikes| strikes.iter().filter(of_server).count() as u32)
     }
 
-    fn queue_delta(&mut self, fingerprint: Fingerprint, server: &ServerId, count: u32, at_ms: u64) {
+    fn queue_delta(&mut self, delta: StrikeDelta, at_ms: u64) {
         if self.outgoing.len() >= OUTGOING_MAX {
             self.outgoing.remove(0);
         }
-        self.outgoing.push(Outgoing {
-            fingerprint,
-            server: server.clone(),
-            count,
-            at_ms,
-        });
+        self.outgoing.push(Outgoing { delta, at_ms });
     }
 
     /// Adds a strike and quarantines the request if it reaches the limit.
     fn add_strike(
         &mut self,
         fingerprint: Fingerprint,
-        server: &ServerId,
-        at_ms: u64,
+        strike: Strike,
+        is_proven: bool,
         now_ms: u64,
         policy: StrikePolicy,
     ) {
         self.evict_expired(now_ms, policy);
         let entry = self.entries.entry(fingerprint).or_default();
-        entry.strikes.push(Strike {
-            server: server.clone(),
-            at_ms,
-            is_stale: false,
-        });
-        // Strikes from before a completion no longer count together with those from other servers,
-        // but still with further ones from the same server.
-        let counts = |strike: &&Strike| !strike.is_stale || strike.server == *server;
-        if entry.strikes.iter().filter(counts).count() as u32 >= policy.strikes_max {
-            entry.quarantined_until_ms = at_ms + policy.quarantine_ms;
+        let server = strike.server.clone();
+        entry.is_proven |= is_proven;
+        entry.strikes.push(strike);
+        entry.strikes.sort_by_key(|strike| strike.at_ms);
+        if !entry.is_quarantined(now_ms)
+            && entry.counted_strikes(&server, policy) >= entry.strikes_max(policy)
+        {
+            entry.quarantine(policy);
         }
     }
 
-    fn apply_completion(&mut self, fingerprint: Fingerprint, server: &ServerId) -> bool {
+    fn apply_completion(
+        &mut self,
+        fingerprint: Fingerprint,
+        server: &ServerId,
+        now_ms: u64,
+    ) -> bool {
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return false;
         };
@@ -286,6 +506,10 @@
         for strike in &mut entry.strikes {
             strike.is_stale = true;
         }
+        entry.is_proven = true;
+        if !entry.is_quarantined(now_ms) {
+            entry.quarantines = 0;
+        }
         let is_changed = *entry != before;
         if entry.strikes.is_empty() && entry.quarantined_until_ms == 0 {
             self.entries.swap_remove(&fingerprint);
@@ -293,12 +517,33 @@
         is_changed
     }
 
+    /// Evicts expired entries, and the oldest others while there are too many. Quarantines yield
+    /// last, so that a caller with many different requests cannot lift them.
     fn evict_expired(&mut self, now_ms: u64, policy: StrikePolicy) {
+        let is_full = self.entries.len() >= ENTRIES_MAX;
+        if !is_full && now_ms < self.evicted_ms + EVICTION_INTERVAL_MS {
+            return;
+        }
+        self.evicted_ms = now_ms;
         self.entries.retain(|_, entry| {
             entry
                 .strikes
                 .retain(|strike| strike.at_ms + policy.quarantine_ms > now_ms);
-            !entry.strikes.is_empty() || entry.quarantined_until_ms > now_ms
+            // After its end, a quarantine is remembered for as long again as the first one.
+            let is_remembered =
+                entry.quarantines > 0 && entry.quarantined_until_ms + policy.quarantine_ms > now_ms;
+            is_remembered || !entry.strikes.is_empty()
+        });
+        if self.entries.len() < ENTRIES_MAX {
+            return;
+        }
+        let excess = self.entries.len() + EVICTED_AT_ONCE - ENTRIES_MAX;
+        let is_open = |entry: &Entry| entry.quarantined_until_ms <= now_ms;
+        let mut left = excess.min(self.entries.values().filter(|e| is_open(e)).count());
+        self.entries.retain(|_, entry| {
+            let is_evicted = left > 0 && is_open(entry);
+            left -= usize::from(is_evicted);
+            !is_evicted
         });
         while self.entries.len() >= ENTRIES_MAX {
             self.entries.shift_remove_index(0);
--- a/src/decide/strikes/tests.rs
+++ b/src/decide/strikes/tests.rs
@@ -2,7 +2,9 @@
 
 const POLICY: StrikePolicy = StrikePolicy {
     strikes_max: 2,
+    proven_strikes_max: 2,
     quarantine_ms: 1000,
+    common_cause_ms: 0,
 };
 const BAD: Fingerprint = Fingerprint(1);
 const GOOD: Fingerprint = Fingerprint(2);
@@ -148,3 +150,139 @@
     tracker.on_server_crash(BAD, &server("a"), 0, 5000, POLICY);
     assert_eq!(tracker.len(), 1);
 }
+
+/// As on the platform: proven requests need more strikes than others.
+const PLATFORM: StrikePolicy = StrikePolicy {
+    strikes_max: 3,
+    proven_strikes_max: 5,
+    quarantine_ms: 10_000,
+    common_cause_ms: 250,
+};
+
+/// Guards against refusing a popular request because a failure of an availability zone ended many
+/// of the servers that were running it: 15 of 100, noticed by routers up to 100 ms apart.
+#[test]
+fn on_server_crash_zone_failure_under_a_popular_request_refuses_nothing() {
+    let mut tracker = StrikeTracker::new();
+    tracker.remember_completion(GOOD);
+    for number in 0..15 {
+        let now_ms = 5_000 + number * 7;
+        let status =
+            tracker.on_server_crash(GOOD, &server(&format!("s{number}")), 200, now_ms, PLATFORM);
+        assert_eq!(status, StrikeStatus::Struck);
+    }
+    tracker.on_completed(GOOD, &server("alive"), 5_200);
+    assert_eq!(tracker.status(GOOD, 5_200, PLATFORM), StrikeStatus::Clear);
+}
+
+/// Guards against refusing a popular request while servers flap: other servers complete it between
+/// their crashes.
+#[test]
+fn on_server_crash_flapping_servers_under_a_popular_request_refuse_nothing() {
+    let mut tracker = StrikeTracker::new();
+    for number in 0..20 {
+        let now_ms = 1_000 + number * 300;
+        let flapping = server(&format!("s{number}"));
+        tracker.on_server_crash(GOOD, &flapping, 50, now_ms, PLATFORM);
+        tracker.on_completed(GOOD, &server("alive"), now_ms + 20);
+        let status = tracker.status(GOOD, now_ms + 20, PLATFORM);
+        assert_eq!(status, StrikeStatus::Clear, "crash {number}");
+    }
+}
+
+/// Guards against a request that no server has completed and that is sent on after the third crash,
+/// although copies ran at the same time.
+#[test]
+fn on_server_crash_copies_on_three_servers_at_once_quarantine() {
+    let mut tracker = StrikeTracker::new();
+    tracker.on_server_crash(BAD, &server("a"), 90, 289, PLATFORM);
+    tracker.on_server_crash(BAD, &server("b"), 77, 346, PLATFORM);
+    let status = tracker.on_server_crash(BAD, &server("c"), 73, 362, PLATFORM);
+    assert!(
+        matches!(status, StrikeStatus::Quarantined { .. }),
+        "{status:?}"
+    );
+}
+
+/// Guards against a request that servers used to complete, until a release, and that is never
+/// refused.
+#[test]
+fn on_server_crash_proven_request_that_turned_harmful_quarantines() {
+    let mut tracker = StrikeTracker::new();
+    tracker.remember_completion(BAD);
+    let crash = |tracker: &mut StrikeTracker, number: u64| {
+        let now_ms = 1_000 + number * 100;
+        tracker.on_server_crash(BAD, &server(&format!("s{number}")), 50, now_ms, PLATFORM)
+    };
+    for number in 0..4 {
+        assert_eq!(crash(&mut tracker, number), StrikeStatus::Struck);
+    }
+    let status = crash(&mut tracker, 4);
+    assert!(
+        matches!(status, StrikeStatus::Quarantined { .. }),
+        "{status:?}"
+    );
+}
+
+/// Guards against three further crashes after each quarantine of a request that stays harmful, and
+/// against refusing one for longer that has ceased to be.
+#[test]
+fn quarantine_after_its_end_one_crash_doubles_it_and_a_completion_ends_it() {
+    let mut tracker = StrikeTracker::new();
+    for (number, at_ms) in [(0, 100), (1, 200), (2, 300)] {
+        tracker.on_server_crash(BAD, &server(&format!("s{number}")), 5, at_ms, PLATFORM);
+    }
+    assert_eq!(tracker.status(BAD, 10_300, PLATFORM), StrikeStatus::Clear);
+    let again = tracker.on_server_crash(BAD, &server("s3"), 5, 10_400, PLATFORM);
+    assert_eq!(again, StrikeStatus::Quarantined { left_ms: 20_000 });
+    let ended_ms = 10_400 + 20_000;
+    tracker.on_completed(BAD, &server("s4"), ended_ms);
+    let later = tracker.on_server_crash(BAD, &server("s5"), 5, ended_ms + 100, PLATFORM);
+    assert_eq!(later, StrikeStatus::Struck);
+}
+
+/// Guards against a caller who lifts quarantines by crashing servers under many different requests.
+#[test]
+fn entries_flood_of_requests_does_not_evict_a_quarantine() {
+    let mut tracker = StrikeTracker::new();
+    for (number, at_ms) in [(0, 100), (1, 200), (2, 300)] {
+        tracker.on_server_crash(BAD, &server(&format!("s{number}")), 5, at_ms, PLATFORM);
+    }
+    for number in 0..2 * ENTRIES_MAX as u64 {
+        let other = Fingerprint(1_000 + number);
+        tracker.on_server_crash(other, &server("a"), 5, 400, PLATFORM);
+    }
+    assert!(tracker.len() <= ENTRIES_MAX, "{}", tracker.len());
+    let status = tracker.status(BAD, 400, PLATFORM);
+    assert!(
+        matches!(status, StrikeStatus::Quarantined { .. }),
+        "{status:?}"
+    );
+}
+
+/// Guards against a router that has just been linked and does not know what the others know, and
+/// against quarantines that routers extend for each other without end.
+#[test]
+fn snapshot_brings_a_new_router_up_to_date() {
+    let (mut here, mut there) = (StrikeTracker::new(), StrikeTracker::new());
+    for (number, at_ms) in [(0, 100), (1, 200), (2, 300)] {
+        here.on_server_crash(BAD, &server(&format!("s{number}")), 5, at_ms, PLATFORM);
+    }
+    here.on_server_crash(GOOD, &server("s2"), 5, 300, PLATFORM);
+    let (strikes, quarantines) = here.snapshot(400);
+    for strike in &strikes {
+        assert!(there.apply_remote(strike, 20_000, PLATFORM));
+    }
+    assert_eq!(there.status(GOOD, 20_000, PLATFORM), StrikeStatus::Struck);
+    let mut restarted = StrikeTracker::new();
+    for quarantine in quarantines {
+        assert!(!there.apply_quarantine(quarantine, 20_000));
+        assert!(restarted.apply_quarantine(quarantine, 20_000));
+        assert!(!restarted.apply_quarantine(quarantine, 20_050));
+    }
+    for tracker in [&there, &restarted] {
+        let status = tracker.status(BAD, 20_000, PLATFORM);
+        assert_eq!(status, StrikeStatus::Quarantined { left_ms: 9_900 });
+    }
+    assert_eq!(here.evidence(BAD, 400).len(), 3);
+}
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,9 +1,11 @@
-//! Whether a server crashed while it ran a request.
+//! Crashes of servers while they ran a request.
 
 use std::io;
 use std::time::Duration;
 
+use crate::control::strikes::ServerCrash;
 use crate::decide::registry::Registration;
+use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::runtime::with_timeout;
@@ -11,20 +13,30 @@
 /// Longest wait for the probe's connection: servers are within a few ms, and a retry waits for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Records a crash if the server of a broken connection no longer listens. A server that accepts a
-/// connection has only reset the other one, and a path without an answer shows nothing.
+/// Records a strike if the server of a broken connection no longer listens. A server that accepts a
+/// connection has only reset the other one, a path without an answer shows nothing, and a server
+/// that was leaving has ended as planned.
 pub async fn check(state: &State, routed: &RoutedRequest, server: &Registration, sent_ms: u64) {
-    if !is_refused(state, server).await {
+    let broken_ms = state.now_ms();
+    let is_leaving = state.registration(&server.id).is_none();
+    if is_leaving || !is_refused(state, server).await {
         return;
     }
+    let ran_ms = broken_ms.saturating_sub(sent_ms);
     log::warn!(
-        "event=crashed id={} fingerprint={} route={} server={} ran_ms={}",
+        "event=crashed id={} fingerprint={} route={} server={} ran_ms={ran_ms}",
         routed.id,
         routed.fingerprint,
         routed.route.name,
         server.id,
-        state.now_ms().saturating_sub(sent_ms),
     );
+    let crash = ServerCrash {
+        fingerprint: routed.fingerprint,
+        ran_ms,
+        now_ms: broken_ms,
+    };
+    let status = state.strikes.record_crash(&server.id, crash, POLICY);
+    state.metrics.count_strike(status);
 }
 
 async fn is_refused(state: &State, server: &Registration) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod prompts_in_flight;
 pub mod protocol;
+pub mod quarantine;
 pub mod reachability;
 pub mod rejection;
 pub mod relay;
@@ -19,6 +20,7 @@
 pub mod routed_request;
 pub mod state;
 pub mod stream;
+pub mod strike_feed;
 pub mod table_handlers;
 pub mod watch;
 
@@ -35,6 +37,7 @@
 use crate::error::Result;
 use crate::gateway::mirror::Mirror;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
+use crate::gateway::quarantine::QuarantineStore;
 use crate::gateway::relay::Mirrors;
 use crate::gateway::state::{GatewaySettings, State};
 use crate::gateway::table_handlers::{Decode, RoutingHandler, ServerHandler};
@@ -58,6 +61,8 @@
     pub servers: Arc<dyn Source>,
     /// Decodes a server's row.
     pub decode_server: Decode<Registration>,
+    /// Keeps the quarantines of requests that crash servers.
+    pub quarantines: Arc<dyn QuarantineStore>,
 }
 
 /// A running gateway and its listeners.
@@ -75,6 +80,7 @@
     decode_routes: Decode<RoutingTable>,
     servers: Arc<dyn Source>,
     decode_server: Decode<Registration>,
+    quarantines: Arc<dyn QuarantineStore>,
 }
 
 impl Tables {
@@ -92,6 +98,11 @@
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
         relay::spawn(state, &mirrors, stop)?;
+        let (shared, quarantines) = (Arc::clone(state), self.quarantines);
+        state.runtime.spawn_supervised(move || {
+            let mirrors = Arc::clone(&mirrors);
+            quarantine::store_loop(Arc::clone(&shared), Arc::clone(&quarantines), mirrors)
+        });
         let settings = state.settings();
         let is_standby = settings
             .relay
@@ -165,6 +176,7 @@
             decode_routes: dependencies.decode_routes,
             servers: dependencies.servers,
             decode_server: dependencies.decode_server,
+            quarantines: dependencies.quarantines,
         };
         tables.watch(&state, &stop)?;
         let shared = Arc::clone(&state);
--- /dev/null
+++ b/src/gateway/quarantine.rs
@@ -0,0 +1,214 @@
+//! Refusal of requests that have crashed several servers, and the store that keeps quarantines
+//! beyond the loss of all routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::RngExt;
+
+use crate::decide::strikes::{Fingerprint, Quarantine, StrikePolicy, StrikeStatus};
+use crate::gateway::rejection::Rejection;
+use crate::gateway::relay::Mirrors;
+use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
+use crate::gateway::state::State;
+use crate::gateway::strike_feed::StrikeChanges;
+use crate::gateway::watch::{SourceError, SourceFuture};
+
+/// When requests are quarantined. The platform allows no more than three retries after a request
+/// has crashed a third server. Failures of an availability zone are noticed by all routers within
+/// 250 ms.
+pub const POLICY: StrikePolicy = StrikePolicy {
+    strikes_max: 3,
+    proven_strikes_max: 5,
+    quarantine_ms: 600_000,
+    common_cause_ms: 250,
+};
+
+/// Fails if the request is in quarantine, and logs the crashes behind it.
+pub fn check(
+    state: &State,
+    routed: &RoutedRequest,
+    history: &AttemptHistory,
+) -> Result<(), Rejection> {
+    let now_ms = state.now_ms();
+    let fingerprint = routed.fingerprint;
+    let StrikeStatus::Quarantined { left_ms } = state.strikes.status(fingerprint, now_ms, POLICY)
+    else {
+        return Ok(());
+    };
+    let evidence = state.strikes.evidence(fingerprint, now_ms);
+    let servers: Vec<&str> = evidence.iter().map(|crash| crash.server.as_str()).collect();
+    let ages: Vec<String> = evidence.iter().map(|c| c.age_ms.to_string()).collect();
+    log::info!(
+        "event=quarantine_hit id={} fingerprint={fingerprint} servers={} ages_ms={} left_ms={left_ms}",
+        routed.id,
+        servers.join(","),
+        ages.join(","),
+    );
+    match history.possible_runs {
+        0 => Err(Rejection::Quarantined {
+            retry_after_ms: left_ms,
+        }),
+        _ => Err(Rejection::AnswerLost),
+    }
+}
+
+/// Keeps the quarantines of all routers.
+pub trait QuarantineStore: Send + Sync + 'static {
+    /// Reads all stored quarantines.
+    fn load(&self) -> SourceFuture<'_, Result<StoredQuarantines, SourceError>>;
+
+    /// Writes and removes quarantines, all or none.
+    fn update<'a>(
+        &'a self,
+        set: &'a [StoredQuarantine],
+        removed: &'a [Fingerprint],
+    ) -> SourceFuture<'a, Result<(), SourceError>>;
+}
+
+/// A quarantine as it is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredQuarantine {
+    /// Request that is refused.
+    pub fingerprint: Fingerprint,
+    /// End of the quarantine, in ms on the store's clock.
+    pub until_ms: u64,
+}
+
+/// Content of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredQuarantines {
+    /// All quarantines, also those that have ended.
+    pub quarantines: Vec<StoredQuarantine>,
+    /// Time of the store's clock, which is steady, in ms.
+    pub now_ms: u64,
+}
+
+/// Interval at which a router that receives the tables from another one checks whether it has to
+/// access the store.
+const STANDBY_POLL: Duration = Duration::from_millis(500);
+/// The same for a router that has no tables yet.
+const START_POLL: Duration = Duration::from_millis(20);
+/// Interval at which a router that reads the tables compares its quarantines with the stored ones.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of rows in an update; the platform accepts 100.
+const UPDATE_ROWS_MAX: usize = 50;
+/// Shortest and longest pause after a failed access.
+const RETRY_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
+
+/// Loads the stored quarantines and stores new ones, while no other router relays the tables to
+/// this one. Never returns.
+pub async fn store_loop(state: Arc<State>, store: Arc<dyn QuarantineStore>, mirrors: Mirrors) {
+    let mut copy: Option<StoreCopy> = None;
+    loop {
+        if mirrors.iter().any(|mirror| mirror.is_relayed()) {
+            smol::Timer::after(STANDBY_POLL).await;
+            continue;
+        }
+        if mirrors.iter().any(|mirror| mirror.position().is_none()) {
+            smol::Timer::after(START_POLL).await;
+            continue;
+        }
+        let result = match &mut copy {
+            None => load(&state, &*store)
+                .await
+                .map(|loaded| copy = Some(loaded)),
+            Some(copy) => update(&state, &*store, copy).await,
+        };
+        match result {
+            Ok(()) => _ = smol::Timer::after(UPDATE_INTERVAL).await,
+            Err(error) => {
+                log::warn!("event=quarantines_not_stored error=\"{error}\"");
+                let pause_ms = rand::rng().random_range(RETRY_MS);
+                smol::Timer::after(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+/// What the store is known to contain.
+struct StoreCopy {
+    /// End of each quarantine, in ms on the store's clock.
+    until_ms: IndexMap<Fingerprint, u64>,
+    /// Time of the store's clock when it was read.
+    read_store_ms: u64,
+    /// Monotonic time when it was read.
+    read_ms: u64,
+}
+
+impl StoreCopy {
+    fn store_ms(&self, now_ms: u64) -> u64 {
+        self.read_store_ms + now_ms.saturating_sub(self.read_ms)
+    }
+}
+
+async fn load(state: &State, store: &dyn QuarantineStore) -> Result<StoreCopy, SourceError> {
+    let stored = store.load().await?;
+    let now_ms = state.now_ms();
+    let in_force = stored.quarantines.iter().filter_map(|quarantine| {
+        let left_ms = quarantine.until_ms.checked_sub(stored.now_ms)?;
+        Some(Quarantine {
+            fingerprint: quarantine.fingerprint,
+            left_ms: left_ms.min(POLICY.quarantine_max_ms()),
+        })
+    });
+    let in_force: Vec<Quarantine> = in_force.collect();
+    let changes = StrikeChanges {
+        strikes: Vec::new(),
+        quarantines: state.strikes.apply_quarantines(&in_force, now_ms),
+        as_of_ms: now_ms,
+    };
+    state.strike_feed.publish(changes, None);
+    let quarantines = stored.quarantines.iter();
+    Ok(StoreCopy {
+        until_ms: quarantines.map(|q| (q.fingerprint, q.until_ms)).collect(),
+        read_store_ms: stored.now_ms,
+        read_ms: now_ms,
+    })
+}
+
+/// Stores the quarantines that are not stored yet or were extended, and removes those that have
+/// ended.
+async fn update(
+    state: &State,
+    store: &dyn QuarantineStore,
+    copy: &mut StoreCopy,
+) -> Result<(), SourceError> {
+    /// Smallest extension that is stored.
+    const EXTENSION_MIN_MS: u64 = 5_000;
+    let now_ms = state.now_ms();
+    let store_ms = copy.store_ms(now_ms);
+    let current = state.strikes.quarantines(now_ms).into_iter();
+    let current = current.map(|quarantine| StoredQuarantine {
+        fingerprint: quarantine.fingerprint,
+        until_ms: store_ms + quarantine.left_ms,
+    });
+    let is_unstored = |quarantine: &StoredQuarantine| {
+        let known_ms = copy.until_ms.get(&quarantine.fingerprint);
+        known_ms.is_none_or(|known_ms| known_ms + EXTENSION_MIN_MS <= quarantine.until_ms)
+    };
+    let set: Vec<StoredQuarantine> = current.filter(is_unstored).take(UPDATE_ROWS_MAX).collect();
+    let is_set = |fingerprint: &Fingerprint| set.iter().any(|q| q.fingerprint == *fingerprint);
+    let known = copy.until_ms.iter();
+    let ended =
+        known.filter(|(fingerprint, until_ms)| **until_ms <= store_ms && !is_set(fingerprint));
+    let ended = ended.map(|(fingerprint, _)| *fingerprint);
+    let ended: Vec<Fingerprint> = ended.take(UPDATE_ROWS_MAX).collect();
+    if set.is_empty() && ended.is_empty() {
+        return Ok(());
+    }
+    store.update(&set, &ended).await?;
+    for quarantine in &set {
+        copy.until_ms
+            .insert(quarantine.fingerprint, quarantine.until_ms);
+        log::info!(
+            "event=quarantine_stored fingerprint={}",
+            quarantine.fingerprint
+        );
+    }
+    for fingerprint in &ended {
+        copy.until_ms.swap_remove(fingerprint);
+    }
+    Ok(())
+}
--- a/src/gateway/rejection.rs
+++ b/src/gateway/rejection.rs
@@ -51,7 +51,10 @@
     TimedOut,
     /// The request has crashed servers and is no longer sent to any.
     #[error("servers crashed while they ran this request; do not send it again")]
-    Quarantined,
+    Quarantined {
+        /// Time until the quarantine ends.
+        retry_after_ms: u64,
+    },
 }
 
 impl Rejection {
@@ -67,7 +70,7 @@
             | Self::NoServer { .. }
             | Self::Overloaded { .. }
             | Self::NotAccepted { .. }
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -87,7 +90,7 @@
             Self::NotAccepted { .. } => "not_accepted",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
-            Self::Quarantined => "quarantined",
+            Self::Quarantined { .. } => "quarantined",
         }
     }
 
@@ -96,7 +99,8 @@
         match self {
             Self::NoServer { retry_after_ms }
             | Self::Overloaded { retry_after_ms }
-            | Self::NotAccepted { retry_after_ms } => Some(*retry_after_ms),
+            | Self::NotAccepted { retry_after_ms }
+            | Self::Quarantined { retry_after_ms } => Some(*retry_after_ms),
             Self::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
             _ => None,
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 mod counts;
 mod publish;
 mod row_codec;
+mod strikes;
 mod subscribe;
 pub mod wire;
 
@@ -145,6 +146,8 @@
         listener.into(),
         stop.clone(),
     ));
+    let shared = Arc::clone(&relay);
+    runtime.spawn_supervised(move || strikes::publish_loop(Arc::clone(&shared)));
     match relay.is_seed() {
         true => {
             let seeds = relay.settings.seeds.iter();
@@ -199,7 +202,7 @@
     let (first, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
     let subscriber = decode_subscriber(first.introduction.as_ref())?;
     if first.is_seed {
-        let link = CountLink::open(relay, Scope::Group);
+        let link = CountLink::open(relay, Scope::Group, None);
         if let Some(address) = subscriber.address {
             let mut tree = relay.tree.lock();
             tree.add_seed(link.id, address, subscriber.zone);
@@ -209,9 +212,11 @@
     let admission = relay.tree.lock().admit(&subscriber, rand::random());
     let redirects = match admission {
         Admission::Accept => {
-            let link = CountLink::open(relay, Scope::Subtree);
+            let feed = relay.state.strike_feed.open_link();
+            let link = CountLink::open(relay, Scope::Subtree, Some(&feed));
             relay.tree.lock().add_child(link.id, subscriber);
-            let publish = publish_to_subscriber(relay, &mut writer, first.introduction.as_ref());
+            let introduction = first.introduction.as_ref();
+            let publish = publish_to_subscriber(relay, &mut writer, introduction, &feed);
             return receive_counts(&mut reader, &link).or(publish).await;
         }
         Admission::Redirect(redirects) => redirects,
@@ -260,7 +265,8 @@
         let link = async {
             let (mut writer, _reader) = relay.dial(seed).await?;
             writer.send(&relay.introduction(false)).await?;
-            report_counts(&relay, &mut writer).await
+            let feed = relay.state.strike_feed.open_link();
+            report_counts(&relay, &mut writer, &feed).await
         };
         let ended: std::result::Result<(), LinkError> = link.await;
         if let Err(error) = ended {
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use futures_lite::FutureExt;
+
 use crate::decide::fleet_counts::{Counts, Scope, next_changes};
+use crate::gateway::relay::strikes::{apply_strikes, send_changes, send_snapshot};
 use crate::gateway::relay::wire::{Count, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
+use crate::gateway::strike_feed::FeedLink;
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError};
 use crate::runtime::with_timeout;
 
@@ -21,12 +25,19 @@
     relay: &'a Relay,
     /// Number of the link.
     pub(super) id: u64,
+    /// Number of the queue from which strikes are sent over the same link.
+    feed: Option<u64>,
 }
 
 impl<'a> CountLink<'a> {
-    pub(super) fn open(relay: &'a Relay, scope: Scope) -> Self {
+    /// Opens a link. Strikes that arrive over it are not sent back through `feed`.
+    pub(super) fn open(relay: &'a Relay, scope: Scope, feed: Option<&FeedLink>) -> Self {
         let id = relay.state.fleet_counts.lock().open_link(scope);
-        Self { relay, id }
+        Self {
+            relay,
+            id,
+            feed: feed.map(|feed| feed.id),
+        }
     }
 
     pub(super) fn apply(&self, message: &Message) {
@@ -35,6 +46,7 @@
             state.record_router_count(self.id, message.routers);
             self.relay.tree.lock().set_subtree(self.id, message.routers);
         }
+        apply_strikes(state, message, self.feed);
         let counts = message
             .counts
             .iter()
@@ -74,17 +86,32 @@
     }
 }
 
-/// Reports the counts of this router and of those below it, until the link ends.
+/// Reports strikes at once, and the counts of this router and of those below it, until the link
+/// ends.
 pub(super) async fn report_counts(
     relay: &Relay,
     writer: &mut FrameWriter,
+    feed: &FeedLink,
 ) -> Result<(), LinkError> {
+    send_snapshot(&relay.state, writer).await?;
     let mut sent_counts = Counts::new();
     loop {
         let totals = relay.state.fleet_totals();
         let message = counts_message(&mut sent_counts, &totals.subtree, totals.subtree_routers);
         let sent = with_timeout(SILENCE_TIMEOUT, writer.send(&message)).await;
         sent.ok_or(LinkError::TimedOut)??;
-        smol::Timer::after(COUNTS_PERIOD).await;
+        let mut tick = smol::Timer::after(COUNTS_PERIOD);
+        loop {
+            let changes = async { Some(feed.changes.recv().await) };
+            let ticked = async {
+                (&mut tick).await;
+                None
+            };
+            let Some(changes) = changes.or(ticked).await else {
+                break;
+            };
+            let changes = changes.map_err(|_| LinkError::Closed)?;
+            send_changes(&relay.state, writer, &changes).await?;
+        }
     }
 }
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -1,8 +1,10 @@
 //! Updates that a router sends to one subscriber.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::RecvError;
 use futures_lite::FutureExt;
 use futures_util::future::select_all;
 use prost::Message as _;
@@ -10,8 +12,10 @@
 use crate::decide::fleet_counts::Counts;
 use crate::gateway::mirror::Update;
 use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
+use crate::gateway::relay::strikes::{send_changes, send_snapshot};
 use crate::gateway::relay::wire::{self, Introduction, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
+use crate::gateway::strike_feed::{FeedLink, StrikeChanges};
 use crate::gateway::watch::Position;
 use crate::peer::frame::{FrameWriter, LinkError};
 use crate::runtime::with_timeout;
@@ -23,11 +27,22 @@
 /// counts from above usually come first.
 const COUNTS_FALLBACK: Duration = Duration::from_millis(300);
 
-/// Publishes updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
+/// What a subscriber is sent next.
+enum Due {
+    /// An update of the table with this number.
+    Table(Result<Update, RecvError>, usize),
+    /// Strikes and quarantines.
+    Strikes(Result<Arc<StrikeChanges>, RecvError>),
+    /// Request counts.
+    Counts,
+}
+
+/// Publishes strikes at once, updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
 pub(super) async fn publish_to_subscriber(
     relay: &Relay,
     writer: &mut FrameWriter,
     introduction: Option<&Introduction>,
+    feed: &FeedLink,
 ) -> Result<(), LinkError> {
     let known = |table: usize| {
         let mut known = introduction.iter().flat_map(|i| &i.known);
@@ -41,6 +56,7 @@
     let is_packing = introduction.is_some();
     let mut sent_path = Vec::new();
     send_path(relay, writer, &mut sent_path).await?;
+    send_snapshot(&relay.state, writer).await?;
     let mut sent_counts = Counts::new();
     let totals_received = relay.totals_received.subscribe();
     let period = match relay.is_seed() {
@@ -50,25 +66,34 @@
     let mut tick = smol::Timer::after(period);
     loop {
         let next = updates.iter().map(|updates| Box::pin(updates.recv()));
-        let next = async { Some(select_all(next).await) };
+        let next = async {
+            let (update, table, _) = select_all(next).await;
+            Due::Table(update, table)
+        };
+        let strikes = async { Due::Strikes(feed.changes.recv().await) };
         let counts_due = async {
             let ticked = async {
                 (&mut tick).await;
             };
             let received = async { _ = totals_received.recv().await };
             ticked.or(received).await;
-            None
+            Due::Counts
         };
         let send = async {
-            match next.or(counts_due).await {
-                Some((update, table, _)) => {
+            match strikes.or(next).or(counts_due).await {
+                Due::Strikes(changes) => {
+                    let changes = changes.map_err(|_| LinkError::Closed)?;
+                    send_changes(&relay.state, writer, &changes).await?;
+                    Ok(false)
+                }
+                Due::Table(update, table) => {
                     let update = update.map_err(|_| LinkError::Closed)?;
                     for message in encode_update(relay, table as u32, &update, is_packing) {
                         send_in_time(writer, &message).await?;
                     }
                     Ok(false)
                 }
-                None => {
+                Due::Counts => {
                     send_path(relay, writer, &mut sent_path).await?;
                     let totals = relay.state.fleet_totals();
                     let message = counts_message(&mut sent_counts, &totals.all, totals.routers);
@@ -84,7 +109,10 @@
     }
 }
 
-async fn send_in_time(writer: &mut FrameWriter, message: &Message) -> Result<(), LinkError> {
+pub(super) async fn send_in_time(
+    writer: &mut FrameWriter,
+    message: &Message,
+) -> Result<(), LinkError> {
     let sent = with_timeout(SILENCE_TIMEOUT, writer.send(message)).await;
     sent.ok_or(LinkError::TimedOut)??;
     Ok(())
--- /dev/null
+++ b/src/gateway/relay/strikes.rs
@@ -0,0 +1,117 @@
+//! Exchange of strikes and quarantines over the links of the relay. Each router passes on what is
+//! new to it, at once.
+
+use std::sync::Arc;
+
+use crate::decide::strikes::{Fingerprint, Quarantine, StrikeDelta};
+use crate::gateway::quarantine::POLICY;
+use crate::gateway::relay::publish::send_in_time;
+use crate::gateway::relay::wire::{self, Message};
+use crate::gateway::relay::{NO_TABLE, Relay};
+use crate::gateway::state::State;
+use crate::gateway::strike_feed::StrikeChanges;
+use crate::ids::ServerId;
+use crate::peer::frame::{FrameWriter, LinkError};
+
+/// Maximum number of strikes in a message, which keeps it well below the largest frame.
+const STRIKES_PER_MESSAGE_MAX: usize = 500;
+
+/// Publishes the strikes that this router records. Never returns.
+pub(super) async fn publish_loop(relay: Arc<Relay>) {
+    let state = &relay.state;
+    loop {
+        state.strikes.wait_for_change().await;
+        let as_of_ms = state.now_ms();
+        let changes = StrikeChanges {
+            strikes: state.strikes.drain_outgoing(as_of_ms),
+            quarantines: Vec::new(),
+            as_of_ms,
+        };
+        state.strike_feed.publish(changes, None);
+    }
+}
+
+/// Sends all that is known to a router that has just been linked.
+pub(super) async fn send_snapshot(
+    state: &State,
+    writer: &mut FrameWriter,
+) -> Result<(), LinkError> {
+    let as_of_ms = state.now_ms();
+    let (strikes, quarantines) = state.strikes.snapshot(as_of_ms);
+    let changes = StrikeChanges {
+        strikes,
+        quarantines,
+        as_of_ms,
+    };
+    send_changes(state, writer, &changes).await
+}
+
+pub(super) async fn send_changes(
+    state: &State,
+    writer: &mut FrameWriter,
+    changes: &StrikeChanges,
+) -> Result<(), LinkError> {
+    let queued_ms = state.now_ms().saturating_sub(changes.as_of_ms);
+    let strikes = changes.strikes.iter().map(|strike| wire::Strike {
+        fingerprint: strike.fingerprint.0,
+        server: strike.server.as_str().to_owned(),
+        count: strike.count,
+        age_ms: strike.age_ms + queued_ms,
+        ran_ms: strike.ran_ms,
+        is_proven: strike.is_proven,
+    });
+    let strikes: Vec<wire::Strike> = strikes.collect();
+    for batch in strikes.chunks(STRIKES_PER_MESSAGE_MAX) {
+        let message = Message {
+            table: NO_TABLE,
+            strikes: batch.to_vec(),
+            ..Message::default()
+        };
+        send_in_time(writer, &message).await?;
+    }
+    let quarantines = changes
+        .quarantines
+        .iter()
+        .map(|quarantine| wire::Quarantine {
+            fingerprint: quarantine.fingerprint.0,
+            left_ms: quarantine.left_ms.saturating_sub(queued_ms),
+        });
+    let quarantines: Vec<wire::Quarantine> = quarantines.collect();
+    for batch in quarantines.chunks(STRIKES_PER_MESSAGE_MAX) {
+        let message = Message {
+            table: NO_TABLE,
+            quarantines: batch.to_vec(),
+            ..Message::default()
+        };
+        send_in_time(writer, &message).await?;
+    }
+    Ok(())
+}
+
+/// Applies the strikes and quarantines of a message, and passes on those that are new.
+pub(super) fn apply_strikes(state: &State, message: &Message, origin: Option<u64>) {
+    if message.strikes.is_empty() && message.quarantines.is_empty() {
+        return;
+    }
+    let now_ms = state.now_ms();
+    let strikes = message.strikes.iter().map(|strike| StrikeDelta {
+        fingerprint: Fingerprint(strike.fingerprint),
+        server: ServerId::from(strike.server.as_str()),
+        count: strike.count,
+        ran_ms: strike.ran_ms,
+        is_proven: strike.is_proven,
+        age_ms: strike.age_ms,
+    });
+    let strikes: Vec<StrikeDelta> = strikes.collect();
+    let quarantines = message.quarantines.iter().map(|quarantine| Quarantine {
+        fingerprint: Fingerprint(quarantine.fingerprint),
+        left_ms: quarantine.left_ms.min(POLICY.quarantine_max_ms()),
+    });
+    let quarantines: Vec<Quarantine> = quarantines.collect();
+    let changes = StrikeChanges {
+        strikes: state.strikes.apply_remote(&strikes, now_ms, POLICY),
+        quarantines: state.strikes.apply_quarantines(&quarantines, now_ms),
+        as_of_ms: now_ms,
+    };
+    state.strike_feed.publish(changes, origin);
+}
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -111,9 +111,10 @@
     writer.send(&relay.introduction(is_insisting)).await?;
     // A router of an older version states no path.
     relay.tree.lock().set_parents(vec![address]);
-    let link = CountLink::open(relay, Scope::Fleet);
+    let feed = relay.state.strike_feed.open_link();
+    let link = CountLink::open(relay, Scope::Fleet, Some(&feed));
     let report = async {
-        report_counts(relay, &mut writer)
+        report_counts(relay, &mut writer, &feed)
             .await
             .map(|()| Ended::SourceLost)
     };
@@ -151,8 +152,11 @@
         }
         if message.table == NO_TABLE {
             link.apply(&message);
-            relay.state.expire_fleet_totals();
-            relay.totals_received.send();
+            // Messages with strikes carry no counts.
+            if message.routers > 0 {
+                relay.state.expire_fleet_totals();
+                relay.totals_received.send();
+            }
             continue;
         }
         let table = message.table as usize;
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -45,6 +45,46 @@
     /// themselves.
     #[prost(bytes = "bytes", tag = "12")]
     pub packed_rows: Bytes,
+    /// Crashes of servers under requests, and completions of such requests.
+    #[prost(message, repeated, tag = "13")]
+    pub strikes: Vec<Strike>,
+    /// Quarantines that the receiver may not be able to derive from strikes.
+    #[prost(message, repeated, tag = "14")]
+    pub quarantines: Vec<Quarantine>,
+}
+
+/// Crash of a server under a request, or completion of the request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Strike {
+    /// Hash of the request's content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Id of the server.
+    #[prost(string, tag = "2")]
+    pub server: String,
+    /// Number of crashes of this server under the request; 0 if it completed the request.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// Time since the crash in ms.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// Time for which the server had run the request, in ms.
+    #[prost(uint64, tag = "5")]
+    pub ran_ms: u64,
+    /// Whether a server completed the request before.
+    #[prost(bool, tag = "6")]
+    pub is_proven: bool,
+}
+
+/// A request that is refused.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Quarantine {
+    /// Hash of the request's content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Remaining time in ms.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
 }
 
 /// A router that opens a link.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -19,6 +19,7 @@
 use crate::gateway::crash;
 use crate::gateway::placement;
 use crate::gateway::protocol::RequestHead;
+use crate::gateway::quarantine;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
@@ -235,6 +236,9 @@
         if remaining_ms == 0 {
             return fallback.ok_or_else(|| deadline_rejection(history));
         }
+        if let Err(rejection) = quarantine::check(state, routed, history) {
+            return fallback.ok_or(rejection);
+        }
         let server = match placement::select_server(state, routed, history) {
             Ok(server) => server,
             Err(rejection) => return fallback.ok_or_else(|| placement_failure(history, rejection)),
@@ -249,6 +253,9 @@
         };
         match attempt::send(state, routed, &server, limits).await {
             Ok(response) => {
+                if matches!(response.body, ResponseBody::Complete(_)) {
+                    state.record_completion(routed.fingerprint, &server.id);
+                }
                 if !routed.route.is_stream {
                     let elapsed_ms = state.now_ms().saturating_sub(now_ms);
                     state.record_run(&routed.service, elapsed_ms);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,11 +10,13 @@
 
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
+use crate::control::strikes::Strikes;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::overload::Overload;
 use crate::decide::prompt_homes::{PromptHomes, fetch_source};
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetRetryLimit, RetryWindow};
+use crate::decide::strikes::Fingerprint;
 use crate::edge::clock::Clock;
 use crate::error::Result;
 use crate::gateway::caller_timeouts::CallerTimeouts;
@@ -22,6 +24,7 @@
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reachability::Reachability;
+use crate::gateway::strike_feed::StrikeFeed;
 use crate::http::memory_budget::MemoryBudget;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
@@ -91,6 +94,10 @@
     pub metrics: GatewayMetrics,
     /// Which backend servers can be reached, and which fail.
     pub reachability: Reachability,
+    /// Crashes of servers, by the requests that they ran.
+    pub strikes: Strikes,
+    /// Passes changes of the strikes on to other routers.
+    pub strike_feed: StrikeFeed,
     /// Protocol of the callers.
     pub callers: Box<dyn CallerProtocol>,
     /// Protocol of the backend servers.
@@ -140,6 +147,7 @@
         callers: Box<dyn CallerProtocol>,
         backends: Box<dyn BackendProtocol>,
     ) -> Result<Self> {
+        let strikes = Strikes::new(&settings.name);
         Ok(Self {
             metrics: GatewayMetrics::open()?,
             response_memory: MemoryBudget::new(settings.memory_bytes / RESPONSE_MEMORY_DIVISOR),
@@ -151,6 +159,8 @@
             clock,
             pool,
             reachability: Reachability::default(),
+            strikes,
+            strike_feed: StrikeFeed::default(),
             callers,
             backends,
             routing: RwLock::default(),
@@ -324,6 +334,13 @@
         }
     }
 
+    /// Records that a server completed a request, which therefore does not crash every server.
+    pub fn record_completion(&self, fingerprint: Fingerprint, server: &ServerId) {
+        self.strikes.remember_completion(fingerprint);
+        self.strikes
+            .record_completion(fingerprint, server, self.now_ms());
+    }
+
     /// Records that another server answers at this server's address.
     pub fn record_misdirected(&self, server: &ServerId) {
         log::warn!("event=server_misdirected server={server}");
@@ -398,6 +415,8 @@
             "is_stopping": self.is_stopping(),
             "uptime_ms": now_ms,
             "requests_in_flight": self.in_flight(),
+            "requests_struck": self.strikes.len(),
+            "requests_quarantined": self.strikes.quarantines(now_ms).len(),
             "routers": self.router_count(),
             "config_version": routing.as_ref().map(|routing| routing.version),
             "servers": servers,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -102,6 +102,8 @@
                 Ok(None) => {
                     self.outcome = "complete";
                     if let Some(source) = self.source.take() {
+                        let fingerprint = self.routed.fingerprint;
+                        self.state.record_completion(fingerprint, &server.id);
                         source.release_connection(&self.state);
                     }
                     return Ok(None);
--- /dev/null
+++ b/src/gateway/strike_feed.rs
@@ -0,0 +1,72 @@
+//! Passes changes of the strikes on to the links of the relay without delay.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_channel::{Receiver, Sender};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use crate::decide::strikes::{Quarantine, StrikeDelta};
+
+/// Capacity of a link's queue. A link that falls further behind is closed, and receives a snapshot
+/// when it has been opened again.
+const QUEUE_MAX: usize = 256;
+
+/// Strikes and quarantines that are new to this router.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StrikeChanges {
+    /// Crashes and completions.
+    pub strikes: Vec<StrikeDelta>,
+    /// Quarantines that were not derived from strikes.
+    pub quarantines: Vec<Quarantine>,
+    /// Monotonic time in ms at which ages and remaining times were taken.
+    pub as_of_ms: u64,
+}
+
+impl StrikeChanges {
+    /// Whether there is nothing to send.
+    pub fn is_empty(&self) -> bool {
+        self.strikes.is_empty() && self.quarantines.is_empty()
+    }
+}
+
+/// Queue of one link.
+#[derive(Debug)]
+pub struct FeedLink {
+    /// Number of the link.
+    pub id: u64,
+    /// Changes to send; closed when the link has fallen too far behind.
+    pub changes: Receiver<Arc<StrikeChanges>>,
+}
+
+/// The queues of all links.
+#[derive(Debug, Default)]
+pub struct StrikeFeed {
+    links: Mutex<IndexMap<u64, Sender<Arc<StrikeChanges>>>>,
+    last_id: AtomicU64,
+}
+
+impl StrikeFeed {
+    /// Adds a link; dropping the result removes it.
+    pub fn open_link(&self) -> FeedLink {
+        let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, changes) = async_channel::bounded(QUEUE_MAX);
+        self.links.lock().insert(id, sender);
+        FeedLink { id, changes }
+    }
+
+    /// Queues changes for all links but the one over which they arrived.
+    pub fn publish(&self, changes: StrikeChanges, origin: Option<u64>) {
+        if changes.is_empty() {
+            return;
+        }
+        let changes = Arc::new(changes);
+        let is_kept = |id: &u64, sender: &mut Sender<Arc<StrikeChanges>>| match Some(*id) == origin
+        {
+            true => !sender.is_closed(),
+            false => sender.try_send(Arc::clone(&changes)).is_ok(),
+        };
+        self.links.lock().retain(is_kept);
+    }
+}
--- a/src/observe/explain.rs
+++ b/src/observe/explain.rs
@@ -212,6 +212,18 @@
             line.field("reason").unwrap_or("-")
         ));
     }
+    if let Some(line) = last_line(own, "quarantine_hit") {
+        let servers = line.field("servers").unwrap_or_default();
+        let left_ms = line.field("left_ms").unwrap_or("-");
+        parts.push(format!(
+            "crashed before: {}; refused for {left_ms} ms more",
+            if servers.is_empty() {
+                "learned from other routers or the store"
+            } else {
+                servers
+            },
+        ));
+    }
     if let Some(line) = last_line(own, "crashed") {
         let server = line.field("server").unwrap_or("-");
         parts.push(format!("{server} crashed while it ran the request"));
--- a/src/observe/explain/tests.rs
+++ b/src/observe/explain/tests.rs
@@ -73,3 +73,20 @@
         assert!(parsed.is_none_or(|line| line.time_ms == 5), "{malformed}");
     }
 }
+
+/// Guards against an explanation that does not name the crashes behind a refusal.
+#[test]
+fn explain_request_quarantined_names_the_crashed_servers() {
+    let text = "\
+time_ms=10 level=info event=quarantine_hit id=q fingerprint=0f servers=a,b,c ages_ms=900,700,20 left_ms=599000
+time_ms=10 level=info event=rejected id=q status=503 code=quarantined after_ms=1 retry_after_ms=599000
+";
+    let text = explain_request("q", &parse_lines("r1", text)).unwrap();
+    expect![[r#"
+        request q: refused with 503 quarantined by r1 after 1 ms
+        cause: it had crashed the servers that ran it; crashed before: a,b,c; refused for 599000 ms more
+        *      +0 ms r1 quarantine_hit fingerprint=0f servers=a,b,c ages_ms=900,700,20 left_ms=599000
+        *      +0 ms r1 rejected status=503 code=quarantined after_ms=1 retry_after_ms=599000
+    "#]]
+    .assert_eq(&text);
+}
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 
+use crate::decide::strikes::StrikeStatus;
 use crate::error::Result;
 use crate::observe::metrics::Exporter;
 
@@ -18,6 +19,7 @@
     exporter: Exporter,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    strikes: Counter<u64>,
     streams: Counter<u64>,
     events: Counter<u64>,
     first_answer_ms: Histogram<f64>,
@@ -37,6 +39,10 @@
                 .u64_counter("gateway.attempts")
                 .with_description("Attempts on backend servers by result")
                 .build(),
+            strikes: meter
+                .u64_counter("gateway.strikes")
+                .with_description("Crashes of servers under a request, by its status afterwards")
+                .build(),
             streams: meter
                 .u64_counter("gateway.streams")
                 .with_description("Ended streams by outcome")
@@ -69,6 +75,12 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a crash of a server under a request.
+    pub fn count_strike(&self, status: StrikeStatus) {
+        self.strikes
+            .add(1, &[KeyValue::new("standing", status.name())]);
+    }
+
     /// Counts a stream that has ended, and the events sent to its caller.
     pub fn count_stream(&self, outcome: &'static str, events: u64) {
         self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -79,6 +79,7 @@
     declined: usize,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
+    run_time: Duration,
 }
 
 impl State {
@@ -193,6 +194,11 @@
         self.state.lock().declined
     }
 
+    /// Sets how long the server runs each request; 0 at first.
+    pub fn set_run_time(&self, run_time: Duration) {
+        self.state.lock().run_time = run_time;
+    }
+
     /// Queues a fault. Each request consumes one queued fault.
     pub fn inject_fault(&self, fault: Fault) {
         self.state.lock().queued_faults.push_back(fault);
@@ -259,8 +265,12 @@
         }
         return std::future::pending().await;
     }
-    if let Some(Fault::Slow(delay)) = fault {
-        Timer::after(delay).await;
+    let run_time = match fault {
+        Some(Fault::Slow(delay)) => delay,
+        _ => state.lock().run_time,
+    };
+    if !run_time.is_zero() {
+        Timer::after(run_time).await;
     }
     let response = match fault {
         Some(Fault::ResponseLost) => return close_connection(),
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -9,6 +9,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
@@ -32,6 +33,8 @@
     Slow(Duration),
 }
 
+/// Tables that routers may not write.
+const READ_ONLY_TABLES: [&str; 2] = ["op", "servers"];
 /// Rows in one page of a read; a small number, so that tests cover paging.
 const ROWS_PER_PAGE: usize = 3;
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -54,6 +57,8 @@
     mode: StoreMode,
     calls: u64,
     page_reads: u64,
+    rows_written: u64,
+    started: Instant,
 }
 
 /// Handle of a running store.
@@ -74,6 +79,8 @@
             mode: StoreMode::Serving,
             calls: 0,
             page_reads: 0,
+            rows_written: 0,
+            started: Instant::now(),
         }));
         let shared = Arc::clone(&state);
         let server = Server::bind(address, move |request| {
@@ -122,6 +129,18 @@
         self.state.lock().calls
     }
 
+    /// Number of rows that routers have written or removed since the start.
+    pub fn rows_written(&self) -> u64 {
+        self.state.lock().rows_written
+    }
+
+    /// Keys of a table's rows.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.state.lock();
+        let rows = state.rows.keys().filter(|(name, _)| name == table);
+        rows.map(|(_, key)| key.clone()).collect()
+    }
+
     /// Number of pages of rows read since the start.
     pub fn page_reads(&self) -> u64 {
         self.state.lock().page_reads
@@ -144,6 +163,39 @@
         });
     }
 
+    /// Applies a transaction without conditions on rows of the empty partition.
+    fn apply(&mut self, transaction: &Value) -> Response<Body> {
+        let rows = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
+        let (set, removed) = (rows("SetKeys"), rows("Delete"));
+        let name = |row: &Value, field: &str| row[field].as_str().map(str::to_owned);
+        let mut changes = Vec::new();
+        for row in set.iter().chain(&removed) {
+            let (Some(table), Some(key)) = (name(row, "Table"), name(row, "Key")) else {
+                return response(StatusCode::BAD_REQUEST, "");
+            };
+            if READ_ONLY_TABLES.contains(&table.as_str()) {
+                return response(StatusCode::FORBIDDEN, "");
+            }
+            let content = name(row, "Value").map(|text| STANDARD.decode(text));
+            let Ok(content) = content.transpose() else {
+                return response(StatusCode::BAD_REQUEST, "");
+            };
+            changes.push((table, key, content));
+        }
+        for (table, key, content) in changes {
+            self.write(&table, &key, content);
+            self.rows_written += 1;
+        }
+        json_response(
+            StatusCode::OK,
+            &json!({"Ver": self.version, "NowMs": self.now_ms()}),
+        )
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
     fn page(&self, table: &str, from: &str) -> Value {
         let rows = self
             .rows
@@ -154,7 +206,7 @@
             .collect();
         let is_truncated = rows.len() > ROWS_PER_PAGE;
         rows.truncate(ROWS_PER_PAGE);
-        json!({"Rows": rows, "Truncated": is_truncated, "Ver": self.version, "NowMs": 0})
+        json!({"Rows": rows, "Truncated": is_truncated, "Ver": self.version, "NowMs": self.now_ms()})
     }
 
     fn changes(&self, table: &str, after: u64) -> Vec<Value> {
@@ -204,6 +256,13 @@
             state.page_reads += 1;
             json_response(StatusCode::OK, &state.page(&table, &from))
         }
+        "/jujubeusher/rows-tx" => {
+            let Ok(body) = request.into_body().collect().await else {
+                return close_connection();
+            };
+            let transaction = serde_json::from_slice(&body.to_bytes());
+            state.lock().apply(&transaction.unwrap_or(Value::Null))
+        }
         "/jujubeusher/rows-feed" => {
             let number = |name| query_param(&request, name).and_then(|text| text.parse().ok());
             let after = number("SinceRev").unwrap_or(0);
