Link seeds that start together without a pause of 1.5 s

With routers just started, a request that had crashed three servers below one seed was not known below the others for up to 1.3 s, and up to six servers ended.

Cause: a seed that finds another one not listening yet pauses for 1.5 s before it tries again. The first ten pauses after the start are now 100 ms.

Measured with crashing_request_is_known_at_size_within_the_contact_time.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -43,9 +43,11 @@
 /// Pause before the seeds are tried again while this router reads the tables itself, and after
 /// other failures of a link or the listener.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
-/// Such a pause while this router knows no tables: routers that start together with the seeds find
-/// them not listening yet.
+/// Such a pause while this router knows no tables, or links to the other seeds for the first time:
+/// routers that start together find each other not listening yet.
 const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Number of times that a seed tries another one with the short pause after its start.
+const START_TRIES: u32 = 10;
 /// Table number of messages that concern no table.
 const NO_TABLE: u32 = u32::MAX;
 
@@ -261,6 +263,7 @@
 
 /// Reports the counts of this seed's subtree to another seed, and reconnects when the link ends.
 async fn report_counts_to_seed(relay: Arc<Relay>, seed: SocketAddr) {
+    let mut start_tries = START_TRIES;
     loop {
         let link = async {
             let (mut writer, _reader) = relay.dial(seed).await?;
@@ -272,6 +275,11 @@
         if let Err(error) = ended {
             log::debug!("event=seed_link_lost seed={seed} error=\"{error}\"");
         }
-        smol::Timer::after(RETRY_PAUSE).await;
+        smol::Timer::after(match start_tries {
+            0 => RETRY_PAUSE,
+            _ => START_RETRY_PAUSE,
+        })
+        .await;
+        start_tries = start_tries.saturating_sub(1);
     }
 }
