Retract strikes for servers that go on running

Cause: a refused connection was taken as proof that the server had ended. A cut path refuses connections too, to each server again and again, and one server gave several strikes within milliseconds.

A server gives one strike a second at most. Strikes are reviewed after 8 s: those whose server has been registered throughout are removed, with the quarantines that they no longer justify, here and in the store. Strikes older than a completion do not count, which keeps a popular request in force when a cut heals, and a completion ends a quarantine on the platform's path.

--- a/src/app.rs
+++ b/src/app.rs
@@ -91,6 +91,7 @@
             proven_strikes_max: rules.strikes_max,
             quarantine_ms: rules.quarantine_ms,
             common_cause_ms: 0,
+            restart_min_ms: 0,
         }
     }
 
--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -14,7 +14,8 @@
 use crate::config::inventory::{BackendServer, Target};
 use crate::decide::rendezvous::score;
 use crate::decide::strikes::{
-    Evidence, Fingerprint, Quarantine, StrikeDelta, StrikePolicy, StrikeStatus, StrikeTracker,
+    Evidence, Fingerprint, Incarnation, Quarantine, StrikeDelta, StrikePolicy, StrikeStatus,
+    StrikeTracker,
 };
 use crate::http::client::{CallError, Client};
 use crate::http::pool::connect;
@@ -77,8 +78,17 @@
 impl Strikes {
     /// Creates a state without strikes.
     pub fn new(router: &RouterId) -> Self {
+        Self::with_tracker(router, StrikeTracker::new())
+    }
+
+    /// Like `new`; a completion of a request also ends its quarantine.
+    pub fn lifting_on_completion(router: &RouterId) -> Self {
+        Self::with_tracker(router, StrikeTracker::lifting_on_completion())
+    }
+
+    fn with_tracker(router: &RouterId, tracker: StrikeTracker) -> Self {
         Self(Arc::new(Inner {
-            tracker: Mutex::default(),
+            tracker: Mutex::new(tracker),
             is_active: AtomicBool::new(false),
             incarnations: Mutex::default(),
             router_hash: xxhash_rust::xxh3::xxh3_64(router.as_str().as_bytes()),
@@ -248,16 +258,45 @@
     }
 
     /// Strikes that count and quarantines in force, for a router that has just been linked.
-    pub fn snapshot(&self, now_ms: u64) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+    pub fn snapshot(
+        &self,
+        now_ms: u64,
+        policy: StrikePolicy,
+    ) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
         match self.is_active() {
-            true => self.0.tracker.lock().snapshot(now_ms),
+            true => self.0.tracker.lock().snapshot(now_ms, policy),
             false => (Vec::new(), Vec::new()),
         }
     }
 
     /// Remembers that a server completed a request, which proves it in case of later strikes.
-    pub fn remember_completion(&self, fingerprint: Fingerprint) {
-        self.0.tracker.lock().remember_completion(fingerprint);
+    pub fn remember_completion(&self, fingerprint: Fingerprint, now_ms: u64) {
+        let mut tracker = self.0.tracker.lock();
+        tracker.remember_completion(fingerprint, now_ms);
+    }
+
+    /// Reviews the strikes that are old enough, and lifts the quarantines that they no longer
+    /// justify. See [`StrikeTracker::review`].
+    pub fn review<I>(
+        &self,
+        now_ms: u64,
+        confirmed_after_ms: u64,
+        policy: StrikePolicy,
+        incarnation: I,
+    ) where
+        I: Fn(&ServerId, u64) -> Incarnation,
+    {
+        if !self.is_active() {
+            return;
+        }
+        let mut tracker = self.0.tracker.lock();
+        let lifted = tracker.review(now_ms, confirmed_after_ms, policy, incarnation);
+        for fingerprint in lifted {
+            log::info!("event=quarantine_lifted fingerprint={fingerprint} reason=servers_running");
+        }
+        self.0
+            .is_active
+            .store(!tracker.is_empty(), Ordering::Release);
     }
 
     /// Queries and records the incarnation of an engine at its first use, so that after a broken
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServerId;
@@ -87,6 +87,9 @@
     /// Servers that end within this time of each other, under runs of a proven request that had
     /// begun before, may have a common cause.
     pub common_cause_ms: u64,
+    /// Shortest time in which a server that has ended can run again under the same id. A further
+    /// break within it does not count, as the server cannot have ended twice.
+    pub restart_min_ms: u64,
 }
 
 impl StrikePolicy {
@@ -164,6 +167,8 @@
     at_ms: u64,
     /// Whether a server has completed the request since.
     is_stale: bool,
+    /// Whether the server is known to have ended.
+    is_confirmed: bool,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -204,12 +209,17 @@
         count
     }
 
-    fn strikes_max(&self, policy: StrikePolicy) -> u32 {
-        match (self.quarantines, self.is_proven) {
+    /// Whether the strikes are enough for a quarantine after this number of earlier ones.
+    fn has_enough_strikes(&self, earlier_quarantines: u32, policy: StrikePolicy) -> bool {
+        let Some(last) = self.strikes.last() else {
+            return false;
+        };
+        let strikes_max = match (earlier_quarantines, self.is_proven) {
             (1.., _) => 1,
             (0, true) => policy.proven_strikes_max,
             (0, false) => policy.strikes_max,
-        }
+        };
+        self.counted_strikes(&last.server, policy) >= strikes_max
     }
 
     /// Begins a quarantine with the newest strike.
@@ -227,35 +237,49 @@
     at_ms: u64,
 }
 
-/// The most recent fingerprints in two generations: when the newer one is full, it replaces the
-/// older one.
+/// Times of the most recent completions, in two generations: when the newer one is full, it replaces
+/// the older one.
 #[derive(Debug, Default)]
-struct RecentFingerprints {
-    newer: IndexSet<Fingerprint>,
-    older: IndexSet<Fingerprint>,
+struct Completions {
+    newer: IndexMap<Fingerprint, u64>,
+    older: IndexMap<Fingerprint, u64>,
 }
 
-impl RecentFingerprints {
-    fn insert(&mut self, fingerprint: Fingerprint) {
+impl Completions {
+    fn record(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         if self.newer.len() >= PROVEN_GENERATION_MAX {
             self.older = std::mem::take(&mut self.newer);
         }
-        self.newer.insert(fingerprint);
+        self.newer.insert(fingerprint, now_ms);
     }
 
-    fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
+    /// Time of the last completion, if it is remembered.
+    fn last_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        let newer = self.newer.get(&fingerprint);
+        newer.or_else(|| self.older.get(&fingerprint)).copied()
     }
 }
 
+/// What is known of a server some time after it seemed to have crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Incarnation {
+    /// It has been registered throughout, so it had not ended.
+    Running,
+    /// It is no longer registered, or was restarted.
+    Ended,
+    /// The registrations are not up to date, or not old enough.
+    Unknown,
+}
+
 /// Strikes known to a router, its own and those received from other routers.
 #[derive(Debug, Default)]
 pub struct StrikeTracker {
     entries: IndexMap<Fingerprint, Entry>,
     isolated: Vec<(Fingerprint, ServerId)>,
     outgoing: Vec<Outgoing>,
-    proven: RecentFingerprints,
+    completions: Completions,
     evicted_ms: u64,
+    lifts_on_completion: bool,
 }
 
 impl StrikeTracker {
@@ -264,6 +288,15 @@
         Self::default()
     }
 
+    /// Creates a tracker in which a completion also ends a quarantine: copies of the request that were
+    /// in flight show that it does not crash every server.
+    pub fn lifting_on_completion() -> Self {
+        Self {
+            lifts_on_completion: true,
+            ..Self::default()
+        }
+    }
+
     /// Number of struck and quarantined requests.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -304,8 +337,13 @@
             .collect()
     }
 
-    /// Strikes that count and quarantines in force, for a router that has just been linked.
-    pub fn snapshot(&self, now_ms: u64) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+    /// Strikes that count, and the quarantines that cannot be derived from them, for a router that has
+    /// just been linked.
+    pub fn snapshot(
+        &self,
+        now_ms: u64,
+        policy: StrikePolicy,
+    ) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
         let entries = self.entries.iter();
         let strikes = entries.flat_map(|(fingerprint, entry)| {
             let strikes = entry.strikes.iter().filter(|strike| !strike.is_stale);
@@ -321,7 +359,15 @@
         let mut strikes: Vec<StrikeDelta> = strikes.collect();
         strikes.sort_by_key(|strike| strike.age_ms);
         strikes.truncate(SNAPSHOT_MAX);
-        (strikes, self.quarantines(now_ms))
+        let mut quarantines = self.quarantines(now_ms);
+        quarantines.retain(|quarantine| !self.is_derivable(quarantine.fingerprint, policy));
+        (strikes, quarantines)
+    }
+
+    /// Whether a router that receives the strikes of a request finds it quarantined.
+    fn is_derivable(&self, fingerprint: Fingerprint, policy: StrikePolicy) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| entry.quarantines == 1 && entry.has_enough_strikes(0, policy))
     }
 
     /// Returns whether and how a request may run now.
@@ -361,15 +407,18 @@
         // Copies of a request that ran on the server at the same time report the same crash.
         let is_known = entry.is_some_and(|entry| {
             let mut strikes = entry.strikes.iter();
-            strikes.any(|strike| strike.server == *server && strike.at_ms >= started_ms)
+            strikes.any(|strike| {
+                strike.server == *server && strike.at_ms + policy.restart_min_ms >= started_ms
+            })
         });
         if !is_known {
-            let is_proven = self.proven.contains(fingerprint);
+            let is_proven = self.completions.last_ms(fingerprint).is_some();
             let strike = Strike {
                 server: server.clone(),
                 started_ms,
                 at_ms: now_ms,
                 is_stale: false,
+                is_confirmed: false,
             };
             self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
             let delta = StrikeDelta {
@@ -386,8 +435,8 @@
     }
 
     /// Remembers that a server completed a request, which proves it in case of later strikes.
-    pub fn remember_completion(&mut self, fingerprint: Fingerprint) {
-        self.proven.insert(fingerprint);
+    pub fn remember_completion(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+        self.completions.record(fingerprint, now_ms);
     }
 
     /// Records that a server completed a request. This removes the request's strikes from that
@@ -420,19 +469,68 @@
         // `count` is a total, so a crash that both routers observed is counted once.
         let missing = delta.count.min(policy.strikes_max);
         let missing = missing.saturating_sub(self.strike_count(fingerprint, server));
-        let is_proven = delta.is_proven || self.proven.contains(fingerprint);
+        let completed_ms = self.completions.last_ms(fingerprint);
+        let is_proven = delta.is_proven || completed_ms.is_some();
         for _ in 0..missing {
             let strike = Strike {
                 server: server.clone(),
                 started_ms: at_ms.saturating_sub(delta.ran_ms),
                 at_ms,
                 is_stale: false,
+                is_confirmed: false,
             };
             self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
         }
+        // The crash was not due to the request if another server completed it later.
+        if missing > 0 && completed_ms.is_some_and(|completed_ms| completed_ms > at_ms) {
+            self.on_completed(fingerprint, &ServerId::from(""), now_ms);
+        }
         missing > 0
     }
 
+    /// Reviews the strikes that are `confirmed_after_ms` old or older: removes those whose server
+    /// goes on running, with the quarantines that no longer have enough strikes. `incarnation` tells
+    /// what became of a server that seemed to have crashed this many ms ago. Returns the requests
+    /// whose quarantine was lifted.
+    pub fn review<I>(
+        &mut self,
+        now_ms: u64,
+        confirmed_after_ms: u64,
+        policy: StrikePolicy,
+        incarnation: I,
+    ) -> Vec<Fingerprint>
+    where
+        I: Fn(&ServerId, u64) -> Incarnation,
+    {
+        let mut lifted = Vec::new();
+        for (fingerprint, entry) in &mut self.entries {
+            let count_before = entry.strikes.len();
+            entry.strikes.retain_mut(|strike| {
+                let age_ms = now_ms.saturating_sub(strike.at_ms);
+                if strike.is_confirmed || age_ms < confirmed_after_ms {
+                    return true;
+                }
+                let incarnation = incarnation(&strike.server, age_ms);
+                strike.is_confirmed = incarnation == Incarnation::Ended;
+                incarnation != Incarnation::Running
+            });
+            let is_retracted = entry.strikes.len() < count_before;
+            let earlier = entry.quarantines.saturating_sub(1);
+            if is_retracted
+                && entry.is_quarantined(now_ms)
+                && !entry.has_enough_strikes(earlier, policy)
+            {
+                entry.quarantined_until_ms = 0;
+                entry.quarantines = earlier;
+                lifted.push(*fingerprint);
+            }
+        }
+        self.entries.retain(|_, entry| {
+            !entry.strikes.is_empty() || entry.quarantines > 0 || entry.is_quarantined(now_ms)
+        });
+        lifted
+    }
+
     /// Applies a quarantine from another router or from before a restart; returns whether it
     /// begins or extends one.
     pub fn apply_quarantine(&mut self, quarantine: Quarantine, now_ms: u64) -> bool {
@@ -481,13 +579,10 @@
     ) {
         self.evict_expired(now_ms, policy);
         let entry = self.entries.entry(fingerprint).or_default();
-        let server = strike.server.clone();
         entry.is_proven |= is_proven;
         entry.strikes.push(strike);
         entry.strikes.sort_by_key(|strike| strike.at_ms);
-        if !entry.is_quarantined(now_ms)
-            && entry.counted_strikes(&server, policy) >= entry.strikes_max(policy)
-        {
+        if !entry.is_quarantined(now_ms) && entry.has_enough_strikes(entry.quarantines, policy) {
             entry.quarantine(policy);
         }
     }
@@ -507,6 +602,9 @@
             strike.is_stale = true;
         }
         entry.is_proven = true;
+        if self.lifts_on_completion {
+            entry.quarantined_until_ms = 0;
+        }
         if !entry.is_quarantined(now_ms) {
             entry.quarantines = 0;
         }
--- a/src/decide/strikes/tests.rs
+++ b/src/decide/strikes/tests.rs
@@ -5,6 +5,7 @@
     proven_strikes_max: 2,
     quarantine_ms: 1000,
     common_cause_ms: 0,
+    restart_min_ms: 0,
 };
 const BAD: Fingerprint = Fingerprint(1);
 const GOOD: Fingerprint = Fingerprint(2);
@@ -157,6 +158,7 @@
     proven_strikes_max: 5,
     quarantine_ms: 10_000,
     common_cause_ms: 250,
+    restart_min_ms: 1_000,
 };
 
 /// Guards against refusing a popular request because a failure of an availability zone ended many
@@ -164,7 +166,7 @@
 #[test]
 fn on_server_crash_zone_failure_under_a_popular_request_refuses_nothing() {
     let mut tracker = StrikeTracker::new();
-    tracker.remember_completion(GOOD);
+    tracker.remember_completion(GOOD, 10);
     for number in 0..15 {
         let now_ms = 5_000 + number * 7;
         let status =
@@ -209,7 +211,7 @@
 #[test]
 fn on_server_crash_proven_request_that_turned_harmful_quarantines() {
     let mut tracker = StrikeTracker::new();
-    tracker.remember_completion(BAD);
+    tracker.remember_completion(BAD, 10);
     let crash = |tracker: &mut StrikeTracker, number: u64| {
         let now_ms = 1_000 + number * 100;
         tracker.on_server_crash(BAD, &server(&format!("s{number}")), 50, now_ms, PLATFORM)
@@ -269,13 +271,14 @@
         here.on_server_crash(BAD, &server(&format!("s{number}")), 5, at_ms, PLATFORM);
     }
     here.on_server_crash(GOOD, &server("s2"), 5, 300, PLATFORM);
-    let (strikes, quarantines) = here.snapshot(400);
+    let (strikes, quarantines) = here.snapshot(400, PLATFORM);
     for strike in &strikes {
         assert!(there.apply_remote(strike, 20_000, PLATFORM));
     }
     assert_eq!(there.status(GOOD, 20_000, PLATFORM), StrikeStatus::Struck);
     let mut restarted = StrikeTracker::new();
-    for quarantine in quarantines {
+    assert_eq!(quarantines, [], "strikes tell the other router enough");
+    for quarantine in here.quarantines(400) {
         assert!(!there.apply_quarantine(quarantine, 20_000));
         assert!(restarted.apply_quarantine(quarantine, 20_000));
         assert!(!restarted.apply_quarantine(quarantine, 20_050));
@@ -286,3 +289,97 @@
     }
     assert_eq!(here.evidence(BAD, 400).len(), 3);
 }
+
+/// Time after which strikes are reviewed.
+const CONFIRMED_AFTER_MS: u64 = 8_000;
+
+fn three_strikes(fingerprint: Fingerprint, at_ms: u64) -> StrikeTracker {
+    let mut tracker = StrikeTracker::lifting_on_completion();
+    for (number, offset_ms) in [(0, 0), (1, 10), (2, 20)] {
+        let server = server(&format!("s{number}"));
+        tracker.on_server_crash(fingerprint, &server, 5, at_ms + offset_ms, PLATFORM);
+    }
+    tracker
+}
+
+/// Guards against refusing sound requests for long because a zone that is cut off refused their
+/// connections while its servers went on running: seven in one such cut.
+#[test]
+fn review_servers_still_running_lift_the_quarantine() {
+    let mut tracker = three_strikes(GOOD, 1_000);
+    let is_running = |_: &ServerId, _| Incarnation::Running;
+    let early = tracker.review(8_000, CONFIRMED_AFTER_MS, PLATFORM, is_running);
+    assert_eq!(early, []);
+    let lifted = tracker.review(9_020, CONFIRMED_AFTER_MS, PLATFORM, is_running);
+    assert_eq!(lifted, [GOOD]);
+    assert_eq!(tracker.status(GOOD, 9_020, PLATFORM), StrikeStatus::Clear);
+    assert!(tracker.is_empty());
+}
+
+/// Guards against lifting a quarantine because a server that ended was registered again later, or
+/// because this router does not know what became of it.
+#[test]
+fn review_servers_ended_or_unknown_keep_the_quarantine() {
+    for incarnation in [Incarnation::Ended, Incarnation::Unknown] {
+        let mut tracker = three_strikes(BAD, 1_000);
+        tracker.review(9_020, CONFIRMED_AFTER_MS, PLATFORM, |_, _| incarnation);
+        let status = tracker.status(BAD, 9_020, PLATFORM);
+        assert!(
+            matches!(status, StrikeStatus::Quarantined { .. }),
+            "{status:?}"
+        );
+    }
+    let mut confirmed = three_strikes(BAD, 1_000);
+    confirmed.review(9_020, CONFIRMED_AFTER_MS, PLATFORM, |_, _| {
+        Incarnation::Ended
+    });
+    let lifted = confirmed.review(60_000, CONFIRMED_AFTER_MS, PLATFORM, |_, _| {
+        Incarnation::Running
+    });
+    assert_eq!(lifted, []);
+}
+
+/// Guards against three strikes from one server whose path was cut: it cannot have ended and
+/// started again within milliseconds.
+#[test]
+fn on_server_crash_same_server_at_once_counts_once() {
+    let mut tracker = StrikeTracker::new();
+    for (name, at_ms) in [("a", 100), ("b", 106), ("a", 147), ("a", 300)] {
+        let status = tracker.on_server_crash(GOOD, &server(name), 2, at_ms, PLATFORM);
+        assert_eq!(status, StrikeStatus::Struck, "{name} at {at_ms} ms");
+    }
+    let restarted = tracker.on_server_crash(GOOD, &server("a"), 2, 4_000, PLATFORM);
+    assert!(
+        matches!(restarted, StrikeStatus::Quarantined { .. }),
+        "{restarted:?}"
+    );
+}
+
+/// Guards against a popular request that all routers refuse after a cut has healed, since those in
+/// the cut saw no server answer it.
+#[test]
+fn apply_remote_strikes_older_than_a_completion_refuse_nothing() {
+    let mut cut_off = StrikeTracker::lifting_on_completion();
+    let mut other = StrikeTracker::lifting_on_completion();
+    cut_off.remember_completion(GOOD, 10);
+    for number in 0..10 {
+        let server = server(&format!("s{number}"));
+        cut_off.on_server_crash(GOOD, &server, 5, 1_000 + number * 500, PLATFORM);
+    }
+    let status = cut_off.status(GOOD, 6_000, PLATFORM);
+    assert!(
+        matches!(status, StrikeStatus::Quarantined { .. }),
+        "{status:?}"
+    );
+    other.remember_completion(GOOD, 6_000);
+    let (strikes, quarantines) = cut_off.snapshot(6_100, PLATFORM);
+    assert_eq!(quarantines, [], "strikes tell the other router enough");
+    for strike in &strikes {
+        other.apply_remote(strike, 6_100, PLATFORM);
+        assert_eq!(other.status(GOOD, 6_100, PLATFORM), StrikeStatus::Clear);
+    }
+    for delta in other.drain_outgoing(6_100) {
+        cut_off.apply_remote(&delta, 6_200, PLATFORM);
+    }
+    assert_eq!(cut_off.status(GOOD, 6_200, PLATFORM), StrikeStatus::Clear);
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod caller_timeouts;
 pub mod crash;
 pub mod fleet_totals;
+pub mod freshness;
 pub mod mirror;
 pub mod placement;
 pub mod prompts_in_flight;
@@ -181,6 +182,8 @@
         tables.watch(&state, &stop)?;
         let shared = Arc::clone(&state);
         runtime.spawn_supervised(move || reachability::probe_loop(Arc::clone(&shared)));
+        let shared = Arc::clone(&state);
+        runtime.spawn_supervised(move || quarantine::review_loop(Arc::clone(&shared)));
         log::info!(
             "event=started router={} zone={} callers={} ready={}",
             state.settings().name,
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::RngExt;
 
 use crate::decide::strikes::{Fingerprint, Quarantine, StrikePolicy, StrikeStatus};
@@ -14,15 +14,17 @@
 use crate::gateway::state::State;
 use crate::gateway::strike_feed::StrikeChanges;
 use crate::gateway::watch::{SourceError, SourceFuture};
+use crate::ids::ServerId;
 
 /// When requests are quarantined. The platform allows no more than three retries after a request
 /// has crashed a third server. Failures of an availability zone are noticed by all routers within
-/// 250 ms.
+/// 250 ms, and servers take seconds to start again.
 pub const POLICY: StrikePolicy = StrikePolicy {
     strikes_max: 3,
     proven_strikes_max: 5,
     quarantine_ms: 600_000,
     common_cause_ms: 250,
+    restart_min_ms: 1_000,
 };
 
 /// Fails if the request is in quarantine, and logs the crashes behind it.
@@ -85,6 +87,24 @@
     pub now_ms: u64,
 }
 
+/// Interval between two reviews of the strikes.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Age at which a strike is reviewed. The row of a server that has ended is removed after three
+/// heartbeats of 1.2 s, and its removal reaches all routers within two seconds.
+const CONFIRMED_AFTER_MS: u64 = 8_000;
+
+/// Removes the strikes for servers that go on running: a path that is cut may refuse connections to
+/// them. Never returns.
+pub async fn review_loop(state: Arc<State>) {
+    loop {
+        smol::Timer::after(REVIEW_INTERVAL).await;
+        let incarnation = |server: &ServerId, age_ms| state.incarnation(server, age_ms);
+        state
+            .strikes
+            .review(state.now_ms(), CONFIRMED_AFTER_MS, POLICY, incarnation);
+    }
+}
+
 /// Interval at which a router that receives the tables from another one checks whether it has to
 /// access the store.
 const STANDBY_POLL: Duration = Duration::from_millis(500);
@@ -169,7 +189,7 @@
 }
 
 /// Stores the quarantines that are not stored yet or were extended, and removes those that have
-/// ended.
+/// ended or were lifted.
 async fn update(
     state: &State,
     store: &dyn QuarantineStore,
@@ -179,21 +199,19 @@
     const EXTENSION_MIN_MS: u64 = 5_000;
     let now_ms = state.now_ms();
     let store_ms = copy.store_ms(now_ms);
-    let current = state.strikes.quarantines(now_ms).into_iter();
-    let current = current.map(|quarantine| StoredQuarantine {
-        fingerprint: quarantine.fingerprint,
-        until_ms: store_ms + quarantine.left_ms,
-    });
+    let current = state.strikes.quarantines(now_ms);
     let is_unstored = |quarantine: &StoredQuarantine| {
         let known_ms = copy.until_ms.get(&quarantine.fingerprint);
         known_ms.is_none_or(|known_ms| known_ms + EXTENSION_MIN_MS <= quarantine.until_ms)
     };
-    let set: Vec<StoredQuarantine> = current.filter(is_unstored).take(UPDATE_ROWS_MAX).collect();
-    let is_set = |fingerprint: &Fingerprint| set.iter().any(|q| q.fingerprint == *fingerprint);
-    let known = copy.until_ms.iter();
-    let ended =
-        known.filter(|(fingerprint, until_ms)| **until_ms <= store_ms && !is_set(fingerprint));
-    let ended = ended.map(|(fingerprint, _)| *fingerprint);
+    let set = current.iter().map(|quarantine| StoredQuarantine {
+        fingerprint: quarantine.fingerprint,
+        until_ms: store_ms + quarantine.left_ms,
+    });
+    let set: Vec<StoredQuarantine> = set.filter(is_unstored).take(UPDATE_ROWS_MAX).collect();
+    let in_force: IndexSet<Fingerprint> = current.iter().map(|q| q.fingerprint).collect();
+    let ended = copy.until_ms.keys().copied();
+    let ended = ended.filter(|fingerprint| !in_force.contains(fingerprint));
     let ended: Vec<Fingerprint> = ended.take(UPDATE_ROWS_MAX).collect();
     if set.is_empty() && ended.is_empty() {
         return Ok(());
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -37,7 +37,7 @@
     writer: &mut FrameWriter,
 ) -> Result<(), LinkError> {
     let as_of_ms = state.now_ms();
-    let (strikes, quarantines) = state.strikes.snapshot(as_of_ms);
+    let (strikes, quarantines) = state.strikes.snapshot(as_of_ms, POLICY);
     let changes = StrikeChanges {
         strikes,
         quarantines,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,11 +16,12 @@
 use crate::decide::prompt_homes::{PromptHomes, fetch_source};
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetRetryLimit, RetryWindow};
-use crate::decide::strikes::Fingerprint;
+use crate::decide::strikes::{Fingerprint, Incarnation};
 use crate::edge::clock::Clock;
 use crate::error::Result;
 use crate::gateway::caller_timeouts::CallerTimeouts;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
+use crate::gateway::freshness::Freshness;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reachability::Reachability;
@@ -117,6 +118,7 @@
     /// Time of the last update of the routes, on the clock that counts suspended time; 0 while their
     /// source does not answer.
     routes_confirmed_ms: AtomicU64,
+    servers_source: Mutex<Freshness>,
 }
 
 /// Share of the process's memory for responses that are being received: an eighth leaves room for
@@ -147,7 +149,7 @@
         callers: Box<dyn CallerProtocol>,
         backends: Box<dyn BackendProtocol>,
     ) -> Result<Self> {
-        let strikes = Strikes::new(&settings.name);
+        let strikes = Strikes::lifting_on_completion(&settings.name);
         Ok(Self {
             metrics: GatewayMetrics::open()?,
             response_memory: MemoryBudget::new(settings.memory_bytes / RESPONSE_MEMORY_DIVISOR),
@@ -176,6 +178,7 @@
             in_flight: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
             routes_confirmed_ms: AtomicU64::new(0),
+            servers_source: Mutex::default(),
         })
     }
 
@@ -336,9 +339,9 @@
 
     /// Records that a server completed a request, which therefore does not crash every server.
     pub fn record_completion(&self, fingerprint: Fingerprint, server: &ServerId) {
-        self.strikes.remember_completion(fingerprint);
-        self.strikes
-            .record_completion(fingerprint, server, self.now_ms());
+        let now_ms = self.now_ms();
+        self.strikes.remember_completion(fingerprint, now_ms);
+        self.strikes.record_completion(fingerprint, server, now_ms);
     }
 
     /// Records that another server answers at this server's address.
@@ -457,6 +460,31 @@
             && self.clock.boot_ms().saturating_sub(confirmed_ms) > ROUTES_UNCONFIRMED_MS
     }
 
+    /// Records an update of the servers, or that their source does not answer.
+    pub fn record_servers_source(&self, is_available: bool) {
+        let now_ms = self.now_ms();
+        let mut servers_source = self.servers_source.lock();
+        match is_available {
+            true => servers_source.record_update(now_ms),
+            false => *servers_source = Freshness::default(),
+        }
+    }
+
+    /// What became of a server that seemed to have crashed `age_ms` ago.
+    pub fn incarnation(&self, server: &ServerId, age_ms: u64) -> Incarnation {
+        let now_ms = self.now_ms();
+        if !self.servers_source.lock().is_current(now_ms) || now_ms <= age_ms {
+            return Incarnation::Unknown;
+        }
+        let registry = self.registry.lock();
+        let is_registered = registry.get(server, now_ms).is_some();
+        let known_for_ms = registry.known_for_ms(server, now_ms);
+        match known_for_ms.filter(|_| is_registered) {
+            Some(known_for_ms) if known_for_ms >= age_ms => Incarnation::Running,
+            _ => Incarnation::Ended,
+        }
+    }
+
     /// Whether routes and servers are known.
     pub fn has_tables(&self) -> bool {
         self.routing.read().is_some() && !self.registry.lock().is_empty()
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -148,11 +148,13 @@
     }
 
     fn source_unavailable(&self) {
+        self.state.record_servers_source(false);
         let now_ms = self.state.now_ms();
         self.state.registry.lock().on_store_lost(now_ms);
     }
 
     fn source_available(&self) {
+        self.state.record_servers_source(true);
         let now_ms = self.state.now_ms();
         let mut registry = self.state.registry.lock();
         registry.on_store_recovered(now_ms);
