Log the prompt parts of requests under which servers crash

When engines ended one after the other under different requests, the logs could not show whether their prompts had a part in common. event=crashed now lists hashes of the ids of all parts but the last one, which belongs to the request alone; at most 16 are decoded. log_crash_names_the_prompt_parts failed before, as nothing was listed.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -5,6 +5,7 @@
 
 use crate::control::strikes::ServerCrash;
 use crate::decide::registry::Registration;
+use crate::gateway::protocol::PromptPart;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
@@ -24,9 +25,10 @@
     }
     let ran_ms = broken_ms.saturating_sub(sent_ms);
     log::warn!(
-        "event=crashed id={} fingerprint={} route={} server={} ran_ms={ran_ms}",
+        "event=crashed id={} fingerprint={} parts={} route={} server={} ran_ms={ran_ms}",
         routed.id,
         routed.fingerprint,
+        join(&routed.prompt_parts),
         routed.route.name,
         server.id,
     );
@@ -49,3 +51,9 @@
         None => false,
     }
 }
+
+/// Joins the hashes of prompt parts with commas, for logs.
+fn join(parts: &[PromptPart]) -> String {
+    let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
+    parts.join(",")
+}
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -21,6 +21,19 @@
     pub tokens: u64,
 }
 
+/// Maximum number of prompt parts that are decoded, which bounds the work for each request.
+pub const PROMPT_PARTS_MAX: usize = 16;
+
+/// Hash of the id of a prompt part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PromptPart(pub u64);
+
+impl std::fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Decoded headers of a caller's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RequestHead {
@@ -32,6 +45,9 @@
     pub timeout_ms: Option<u64>,
     /// The prompt, if the request has one.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other requests may have too, in order, at most
+    /// [`PROMPT_PARTS_MAX`].
+    pub prompt_parts: Vec<PromptPart>,
     /// Number of the last event of the stream that the caller has received.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -115,6 +115,7 @@
             .and_then(|owner| owner.priority)
             .unwrap_or(route.priority),
         prompt: head.prompt,
+        prompt_parts: head.prompt_parts,
         last_event: head.last_event,
         arrived_ms,
         deadline_ms: arrived_ms + wait_ms.min(route.timeout_ms),
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -8,7 +8,7 @@
 
 use crate::config::routing::Route;
 use crate::decide::strikes::Fingerprint;
-use crate::gateway::protocol::Prompt;
+use crate::gateway::protocol::{Prompt, PromptPart};
 use crate::ids::{Repeat, RequestId, ServerId, ServiceId, TeamId};
 
 /// A caller's request after routing, with everything that its attempts need.
@@ -36,6 +36,8 @@
     pub priority: u32,
     /// The prompt, if it has one.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other requests may have too, in order.
+    pub prompt_parts: Vec<PromptPart>,
     /// Number of the last event that the caller received, if the request resumes a stream.
     pub last_event: Option<u64>,
     /// Monotonic arrival time in ms.
