Quarantine parts of prompts that crash engines

Callers of one route got 502 and broken streams for as long as requests with one part in their prompts came: each engine that began to answer one ended, 33 in all, though no two of the requests were alike.

Cause: evidence was kept for whole requests only. Requests that differ in their last part have nothing in common for it.

A server that ends before it began to answer, or within 300 ms after, is now evidence against each part of the prompt but the last. Three servers under two different requests quarantine the part; of several candidates one that was never answered, and of those the one furthest back. It explains the crashes of its neighbours, which are cleared. An answer that begins on a part clears it at all routers. A part with answers in the past needs five crashes, each with a cause of its own. One team's requests refuse a part for that team only, those of two teams for all. Quarantines, review, store and links are those of whole requests. At most 16 parts of a request and 512 runs are kept.

--- a/src/control/strike_sync.rs
+++ b/src/control/strike_sync.rs
@@ -62,6 +62,8 @@
         count: row.count,
         ran_ms: 0,
         is_proven: false,
+        parts: Vec::new(),
+        caller: 0,
         age_ms: policy.quarantine_ms.saturating_sub(row.remaining_ms),
     }
 }
--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -12,10 +12,11 @@
 use serde::Deserialize;
 
 use crate::config::inventory::{BackendServer, Target};
+use crate::decide::part_strikes::CrashedRun;
 use crate::decide::rendezvous::score;
 use crate::decide::strikes::{
-    Evidence, Fingerprint, Incarnation, Quarantine, StrikeDelta, StrikePolicy, StrikeStatus,
-    StrikeTracker,
+    Evidence, Fingerprint, Incarnation, Quarantine, SoundPart, StrikeDelta, StrikePolicy,
+    StrikeStatus, StrikeTracker,
 };
 use crate::http::client::{CallError, Client};
 use crate::http::pool::connect;
@@ -165,6 +166,64 @@
         status
     }
 
+    /// Records that a server crashed while it ran a request, and that each part of the request's
+    /// prompt may be the cause; returns the request's new status.
+    pub fn record_run_crash(&self, run: CrashedRun, policy: StrikePolicy) -> StrikeStatus {
+        let (fingerprint, server) = (run.request, run.server.clone());
+        let ran_ms = run.at_ms.saturating_sub(run.started_ms);
+        let now_ms = run.at_ms;
+        let mut tracker = self.0.tracker.lock();
+        let status = tracker.on_run_crash(run, policy);
+        self.0.is_active.store(true, Ordering::Release);
+        log::warn!(
+            "event=strike fingerprint={fingerprint} server={server} ran_ms={ran_ms} standing={}",
+            status.name(),
+        );
+        log_quarantined_parts(&mut tracker, now_ms);
+        drop(tracker);
+        self.notify();
+        status
+    }
+
+    /// Records that a server went on with an answer on these parts of a prompt.
+    pub fn record_answer(&self, parts: &[Fingerprint], now_ms: u64) {
+        if parts.is_empty() {
+            return;
+        }
+        let is_news = self.0.tracker.lock().on_answer_begun(parts, now_ms);
+        if is_news {
+            self.notify();
+        }
+    }
+
+    /// Applies the sound parts that another router published; returns those that were new.
+    pub fn apply_sound(&self, sound: &[SoundPart], now_ms: u64) -> Vec<SoundPart> {
+        let mut tracker = self.0.tracker.lock();
+        let sound = sound.iter().copied();
+        sound
+            .filter(|sound| tracker.apply_sound(*sound, now_ms))
+            .collect()
+    }
+
+    /// Removes and returns the sound parts since the last call, to be published to other routers.
+    pub fn drain_sound(&self, now_ms: u64) -> Vec<SoundPart> {
+        self.0.tracker.lock().drain_sound(now_ms)
+    }
+
+    /// Quarantine that refuses the requests of a caller with one of these parts.
+    pub fn refused_part(
+        &self,
+        parts: &[Fingerprint],
+        caller: u64,
+        now_ms: u64,
+    ) -> Option<Quarantine> {
+        if !self.is_active() {
+            return None;
+        }
+        let tracker = self.0.tracker.lock();
+        tracker.refused_part(parts, caller, now_ms)
+    }
+
     /// Records that a server completed a request.
     pub fn record_completion(&self, fingerprint: Fingerprint, server: &ServerId, now_ms: u64) {
         if self.is_active() {
@@ -217,9 +276,15 @@
                 );
             }
         }
+        log_quarantined_parts(&mut tracker, now_ms);
         self.0
             .is_active
             .store(!tracker.is_empty(), Ordering::Release);
+        drop(tracker);
+        // Sound parts of the runs may have to be published.
+        if !changed.is_empty() {
+            self.notify();
+        }
         changed
     }
 
@@ -381,3 +446,14 @@
     let report: Option<LoadReport> = serde_json::from_slice(&response.body).ok();
     Ok(report.map(|report| report.incarnation))
 }
+
+fn log_quarantined_parts(tracker: &mut StrikeTracker, now_ms: u64) {
+    for fingerprint in tracker.drain_quarantined() {
+        let evidence = tracker.evidence(fingerprint, now_ms);
+        let servers: Vec<&str> = evidence.iter().map(|crash| crash.server.as_str()).collect();
+        log::warn!(
+            "event=part_quarantined fingerprint={fingerprint} servers={}",
+            servers.join(","),
+        );
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod overlay;
 pub mod overload;
+pub mod part_strikes;
 pub mod placement;
 pub mod probe;
 pub mod prompt_homes;
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -14,6 +14,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::decide::part_strikes::{
+    Callers, CrashedRun, PartStrikes, fingerprint as part_fingerprint,
+};
 use crate::ids::ServerId;
 
 /// Maximum number of tracked requests; the oldest are evicted first.
@@ -125,7 +128,7 @@
 }
 
 /// A change that a router sends to the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StrikeDelta {
     /// Request that the change concerns.
     pub fingerprint: Fingerprint,
@@ -138,10 +141,23 @@
     pub ran_ms: u64,
     /// Whether the sender knows that a server completed the request before.
     pub is_proven: bool,
+    /// Parts of the prompt, if the server crashed before it began to answer.
+    pub parts: Vec<Fingerprint>,
+    /// Hash of the caller's team; 0 without parts.
+    pub caller: u64,
     /// Time from the change until the sender sent it.
     pub age_ms: u64,
 }
 
+/// A part of a prompt on which an answer began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoundPart {
+    /// Hash of the part's id.
+    pub part: Fingerprint,
+    /// Time since the answer in ms.
+    pub age_ms: u64,
+}
+
 /// A quarantine and its remaining time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Quarantine {
@@ -222,9 +238,8 @@
         self.counted_strikes(&last.server, policy) >= strikes_max
     }
 
-    /// Begins a quarantine with the newest strike.
-    fn quarantine(&mut self, policy: StrikePolicy) {
-        let at_ms = self.strikes.last().map_or(0, |strike| strike.at_ms);
+    /// Begins a quarantine with a crash at `at_ms`.
+    fn quarantine(&mut self, at_ms: u64, policy: StrikePolicy) {
         let doublings = self.quarantines.min(DOUBLINGS_MAX);
         self.quarantined_until_ms = at_ms + (policy.quarantine_ms << doublings);
         self.quarantines += 1;
@@ -240,13 +255,13 @@
 /// Times of the most recent completions, in two generations: when the newer one is full, it replaces
 /// the older one.
 #[derive(Debug, Default)]
-struct Completions {
+pub(super) struct Completions {
     newer: IndexMap<Fingerprint, u64>,
     older: IndexMap<Fingerprint, u64>,
 }
 
 impl Completions {
-    fn record(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+    pub(super) fn record(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         if self.newer.len() >= PROVEN_GENERATION_MAX {
             self.older = std::mem::take(&mut self.newer);
         }
@@ -254,7 +269,7 @@
     }
 
     /// Time of the last completion, if it is remembered.
-    fn last_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+    pub(super) fn last_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
         let newer = self.newer.get(&fingerprint);
         newer.or_else(|| self.older.get(&fingerprint)).copied()
     }
@@ -280,6 +295,9 @@
     completions: Completions,
     evicted_ms: u64,
     lifts_on_completion: bool,
+    parts: PartStrikes,
+    outgoing_sound: Vec<(Fingerprint, u64)>,
+    newly_quarantined: Vec<Fingerprint>,
 }
 
 impl StrikeTracker {
@@ -304,7 +322,7 @@
 
     /// Whether no request is struck or quarantined.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.is_empty() && self.parts.is_empty()
     }
 
     /// Number of requests in quarantine.
@@ -325,15 +343,16 @@
             .collect()
     }
 
-    /// Crashes that count against a request, oldest first.
+    /// Crashes that count against a request or a part, oldest first.
     pub fn evidence(&self, fingerprint: Fingerprint, now_ms: u64) -> Vec<Evidence> {
         let entry = self.entries.get(&fingerprint);
         let strikes = entry.into_iter().flat_map(|entry| &entry.strikes);
+        let strikes = strikes.map(|strike| Evidence {
+            server: strike.server.clone(),
+            age_ms: now_ms.saturating_sub(strike.at_ms),
+        });
         strikes
-            .map(|strike| Evidence {
-                server: strike.server.clone(),
-                age_ms: now_ms.saturating_sub(strike.at_ms),
-            })
+            .chain(self.parts.evidence(fingerprint, now_ms))
             .collect()
     }
 
@@ -353,10 +372,22 @@
                 count: self.strike_count(*fingerprint, &strike.server),
                 ran_ms: strike.at_ms - strike.started_ms,
                 is_proven: entry.is_proven,
+                parts: Vec::new(),
+                caller: 0,
                 age_ms: now_ms.saturating_sub(strike.at_ms),
             })
         });
-        let mut strikes: Vec<StrikeDelta> = strikes.collect();
+        let runs = self.parts.runs().map(|run| StrikeDelta {
+            fingerprint: run.request,
+            server: run.server.clone(),
+            count: self.strike_count(run.request, &run.server).max(1),
+            ran_ms: run.at_ms.saturating_sub(run.started_ms),
+            is_proven: false,
+            parts: run.parts.clone(),
+            caller: run.caller,
+            age_ms: now_ms.saturating_sub(run.at_ms),
+        });
+        let mut strikes: Vec<StrikeDelta> = runs.chain(strikes).collect();
         strikes.sort_by_key(|strike| strike.age_ms);
         strikes.truncate(SNAPSHOT_MAX);
         let mut quarantines = self.quarantines(now_ms);
@@ -366,6 +397,9 @@
 
     /// Whether a router that receives the strikes of a request finds it quarantined.
     fn is_derivable(&self, fingerprint: Fingerprint, policy: StrikePolicy) -> bool {
+        if self.parts.is_derivable(fingerprint) {
+            return true;
+        }
         let entry = self.entries.get(&fingerprint);
         entry.is_some_and(|entry| entry.quarantines == 1 && entry.has_enough_strikes(0, policy))
     }
@@ -402,31 +436,51 @@
         now_ms: u64,
         policy: StrikePolicy,
     ) -> StrikeStatus {
-        let started_ms = now_ms.saturating_sub(ran_ms);
+        let run = CrashedRun {
+            parts: Vec::new(),
+            request: fingerprint,
+            caller: 0,
+            server: server.clone(),
+            started_ms: now_ms.saturating_sub(ran_ms),
+            at_ms: now_ms,
+        };
+        self.on_run_crash(run, policy)
+    }
+
+    /// Like `on_server_crash`. If the server had not begun to answer, the run has the parts of its
+    /// prompt, each of which may be the cause.
+    pub fn on_run_crash(&mut self, run: CrashedRun, policy: StrikePolicy) -> StrikeStatus {
+        let (fingerprint, now_ms) = (run.request, run.at_ms);
         let entry = self.entries.get(&fingerprint);
         // Copies of a request that ran on the server at the same time report the same crash.
         let is_known = entry.is_some_and(|entry| {
             let mut strikes = entry.strikes.iter();
             strikes.any(|strike| {
-                strike.server == *server && strike.at_ms + policy.restart_min_ms >= started_ms
+                strike.server == run.server
+                    && strike.at_ms + policy.restart_min_ms >= run.started_ms
             })
         });
+        let is_proven = self.completions.last_ms(fingerprint).is_some();
         if !is_known {
-            let is_proven = self.completions.last_ms(fingerprint).is_some();
             let strike = Strike {
-                server: server.clone(),
-                started_ms,
+                server: run.server.clone(),
+                started_ms: run.started_ms,
                 at_ms: now_ms,
                 is_stale: false,
                 is_confirmed: false,
             };
             self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
+        }
+        let is_known_run = !self.add_run(run.clone(), now_ms, policy);
+        if !is_known || !is_known_run {
             let delta = StrikeDelta {
                 fingerprint,
-                server: server.clone(),
-                count: self.strike_count(fingerprint, server),
-                ran_ms,
+                count: self.strike_count(fingerprint, &run.server),
+                ran_ms: now_ms.saturating_sub(run.started_ms),
+                server: run.server,
                 is_proven,
+                parts: run.parts,
+                caller: run.caller,
                 age_ms: 0,
             };
             self.queue_delta(delta, now_ms);
@@ -434,6 +488,98 @@
         self.status(fingerprint, now_ms, policy)
     }
 
+    /// Adds a run whose parts may be the cause of a crash; returns whether it is new.
+    fn add_run(&mut self, run: CrashedRun, now_ms: u64, policy: StrikePolicy) -> bool {
+        let at_ms = run.at_ms;
+        let entries = &self.entries;
+        let outcome = self.parts.add(run, policy, |fingerprint| {
+            let entry = entries.get(&fingerprint);
+            entry.map_or((0, false), |entry| {
+                (entry.quarantines, entry.is_quarantined(now_ms))
+            })
+        });
+        for fingerprint in &outcome.quarantined {
+            let entry = self.entries.entry(*fingerprint).or_default();
+            entry.quarantine(at_ms, policy);
+        }
+        self.newly_quarantined.extend(outcome.quarantined);
+        self.outgoing_sound.extend(outcome.proven);
+        outcome.is_new
+    }
+
+    /// Records that a server went on with an answer on these parts, so that none of them crashes
+    /// every server. Returns whether other routers need to know.
+    pub fn on_answer_begun(&mut self, parts: &[Fingerprint], now_ms: u64) -> bool {
+        let struck = self.parts.record_sound(parts, now_ms);
+        for part in &struck {
+            self.lift_part(*part, now_ms);
+            self.outgoing_sound.push((*part, now_ms));
+        }
+        !struck.is_empty()
+    }
+
+    /// Applies a sound part that another router reports; returns whether it changed anything.
+    pub fn apply_sound(&mut self, sound: SoundPart, now_ms: u64) -> bool {
+        let at_ms = now_ms.saturating_sub(sound.age_ms);
+        let is_changed = self.parts.apply_sound(sound.part, at_ms);
+        if is_changed {
+            self.lift_part(sound.part, at_ms);
+        }
+        is_changed
+    }
+
+    /// Lifts the quarantines of a part that began before an answer on it.
+    fn lift_part(&mut self, part: Fingerprint, answered_ms: u64) {
+        for fingerprint in self.parts.quarantines_of(part) {
+            if self.parts.is_derivable(fingerprint) {
+                // Servers crashed after that answer.
+                continue;
+            }
+            if let Some(entry) = self.entries.get_mut(&fingerprint) {
+                entry.quarantined_until_ms = entry.quarantined_until_ms.min(answered_ms);
+                entry.quarantines = 0;
+            }
+            self.parts.forget_quarantine(fingerprint);
+        }
+    }
+
+    /// Removes and returns the sound parts that were not yet sent to other routers.
+    pub fn drain_sound(&mut self, now_ms: u64) -> Vec<SoundPart> {
+        let sound = self.outgoing_sound.drain(..);
+        sound
+            .map(|(part, at_ms)| SoundPart {
+                part,
+                age_ms: now_ms.saturating_sub(at_ms),
+            })
+            .collect()
+    }
+
+    /// Removes and returns the fingerprints of parts that were quarantined since the last call.
+    pub fn drain_quarantined(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.newly_quarantined)
+    }
+
+    /// Fingerprint of the quarantine that refuses the requests of a caller with one of these parts,
+    /// and its remaining time in ms; `None` if they may run.
+    pub fn refused_part(
+        &self,
+        parts: &[Fingerprint],
+        caller: u64,
+        now_ms: u64,
+    ) -> Option<Quarantine> {
+        let callers = [Callers::One(caller), Callers::All];
+        let mut verdicts = parts
+            .iter()
+            .flat_map(|part| callers.map(|callers| part_fingerprint(*part, callers)));
+        verdicts.find_map(|fingerprint| {
+            let entry = self.entries.get(&fingerprint)?;
+            entry.is_quarantined(now_ms).then(|| Quarantine {
+                fingerprint,
+                left_ms: entry.quarantined_until_ms - now_ms,
+            })
+        })
+    }
+
     /// Remembers that a server completed a request, which proves it in case of later strikes.
     pub fn remember_completion(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         self.completions.record(fingerprint, now_ms);
@@ -450,6 +596,8 @@
                 count: 0,
                 ran_ms: 0,
                 is_proven: true,
+                parts: Vec::new(),
+                caller: 0,
                 age_ms: 0,
             };
             self.queue_delta(delta, now_ms);
@@ -485,7 +633,16 @@
         if missing > 0 && completed_ms.is_some_and(|completed_ms| completed_ms > at_ms) {
             self.on_completed(fingerprint, &ServerId::from(""), now_ms);
         }
-        missing > 0
+        let run = CrashedRun {
+            parts: delta.parts.clone(),
+            request: fingerprint,
+            caller: delta.caller,
+            server: server.clone(),
+            started_ms: at_ms.saturating_sub(delta.ran_ms),
+            at_ms,
+        };
+        let is_new_run = self.add_run(run, now_ms, policy);
+        missing > 0 || is_new_run
     }
 
     /// Reviews the strikes that are `confirmed_after_ms` old or older: removes those whose server
@@ -502,7 +659,16 @@
     where
         I: Fn(&ServerId, u64) -> Incarnation,
     {
-        let mut lifted = Vec::new();
+        let of_parts = self
+            .parts
+            .review(now_ms, confirmed_after_ms, policy, &incarnation);
+        for fingerprint in &of_parts {
+            if let Some(entry) = self.entries.get_mut(fingerprint) {
+                entry.quarantined_until_ms = 0;
+                entry.quarantines = entry.quarantines.saturating_sub(1);
+            }
+        }
+        let mut lifted = of_parts;
         for (fingerprint, entry) in &mut self.entries {
             let count_before = entry.strikes.len();
             entry.strikes.retain_mut(|strike| {
@@ -583,7 +749,8 @@
         entry.strikes.push(strike);
         entry.strikes.sort_by_key(|strike| strike.at_ms);
         if !entry.is_quarantined(now_ms) && entry.has_enough_strikes(entry.quarantines, policy) {
-            entry.quarantine(policy);
+            let at_ms = entry.strikes.last().map_or(now_ms, |last| last.at_ms);
+            entry.quarantine(at_ms, policy);
         }
     }
 
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -3,9 +3,9 @@
 use std::io;
 use std::time::Duration;
 
-use crate::control::strikes::ServerCrash;
+use crate::decide::part_strikes::CrashedRun;
 use crate::decide::registry::Registration;
-use crate::gateway::protocol::PromptPart;
+use crate::decide::strikes::Fingerprint;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
@@ -17,7 +17,16 @@
 /// Records a strike if the server of a broken connection no longer listens. A server that accepts a
 /// connection has only reset the other one, a path without an answer shows nothing, and a server
 /// that was leaving has ended as planned.
-pub async fn check(state: &State, routed: &RoutedRequest, server: &Registration, sent_ms: u64) {
+///
+/// `has_answered` tells that the server had gone on with an answer for some time, so that no part of
+/// the prompt is the cause.
+pub async fn check(
+    state: &State,
+    routed: &RoutedRequest,
+    server: &Registration,
+    sent_ms: u64,
+    has_answered: bool,
+) {
     let broken_ms = state.now_ms();
     let is_leaving = state.registration(&server.id).is_none();
     if is_leaving || !is_refused(state, server).await {
@@ -32,12 +41,19 @@
         routed.route.name,
         server.id,
     );
-    let crash = ServerCrash {
-        fingerprint: routed.fingerprint,
-        ran_ms,
-        now_ms: broken_ms,
+    let parts = match has_answered {
+        true => Vec::new(),
+        false => routed.prompt_parts.clone(),
     };
-    let status = state.strikes.record_crash(&server.id, crash, POLICY);
+    let run = CrashedRun {
+        parts,
+        request: routed.fingerprint,
+        caller: routed.caller_hash(),
+        server: server.id.clone(),
+        started_ms: sent_ms,
+        at_ms: broken_ms,
+    };
+    let status = state.strikes.record_run_crash(run, POLICY);
     state.metrics.count_strike(status);
 }
 
@@ -53,7 +69,7 @@
 }
 
 /// Joins the hashes of prompt parts with commas, for logs.
-fn join(parts: &[PromptPart]) -> String {
-    let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
+fn join(parts: &[Fingerprint]) -> String {
+    let parts: Vec<String> = parts.iter().map(Fingerprint::to_string).collect();
     parts.join(",")
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 
+use crate::decide::strikes::Fingerprint;
 use crate::gateway::rejection::Rejection;
 use crate::http::Body;
 use crate::ids::{RequestId, ServerId, TeamId};
@@ -24,16 +25,6 @@
 /// Maximum number of prompt parts that are decoded, which bounds the work for each request.
 pub const PROMPT_PARTS_MAX: usize = 16;
 
-/// Hash of the id of a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct PromptPart(pub u64);
-
-impl std::fmt::Display for PromptPart {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 /// Decoded headers of a caller's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RequestHead {
@@ -45,9 +36,9 @@
     pub timeout_ms: Option<u64>,
     /// The prompt, if the request has one.
     pub prompt: Option<Prompt>,
-    /// Parts of the prompt that other requests may have too, in order, at most
+    /// Hashes of the ids of the prompt parts that other requests may have too, in order, at most
     /// [`PROMPT_PARTS_MAX`].
-    pub prompt_parts: Vec<PromptPart>,
+    pub prompt_parts: Vec<Fingerprint>,
     /// Number of the last event of the stream that the caller has received.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -27,23 +27,42 @@
     restart_min_ms: 1_000,
 };
 
-/// Fails if the request is in quarantine, and logs the crashes behind it.
+/// Fails if the request or a part of its prompt is in quarantine, and logs the crashes behind it.
 pub fn check(
     state: &State,
     routed: &RoutedRequest,
     history: &AttemptHistory,
 ) -> Result<(), Rejection> {
     let now_ms = state.now_ms();
-    let fingerprint = routed.fingerprint;
-    let StrikeStatus::Quarantined { left_ms } = state.strikes.status(fingerprint, now_ms, POLICY)
+    let status = state.strikes.status(routed.fingerprint, now_ms, POLICY);
+    let quarantine = match status {
+        StrikeStatus::Quarantined { left_ms } => Some(Quarantine {
+            fingerprint: routed.fingerprint,
+            left_ms,
+        }),
+        StrikeStatus::Clear | StrikeStatus::Struck => {
+            let caller = routed.caller_hash();
+            let parts = &routed.prompt_parts;
+            state.strikes.refused_part(parts, caller, now_ms)
+        }
+    };
+    let Some(Quarantine {
+        fingerprint,
+        left_ms,
+    }) = quarantine
     else {
         return Ok(());
     };
+    let subject = match fingerprint == routed.fingerprint {
+        true => "request",
+        false => "part",
+    };
     let evidence = state.strikes.evidence(fingerprint, now_ms);
     let servers: Vec<&str> = evidence.iter().map(|crash| crash.server.as_str()).collect();
     let ages: Vec<String> = evidence.iter().map(|c| c.age_ms.to_string()).collect();
     log::info!(
-        "event=quarantine_hit id={} fingerprint={fingerprint} servers={} ages_ms={} left_ms={left_ms}",
+        "event=quarantine_hit id={} fingerprint={fingerprint} subject={subject} servers={} \
+         ages_ms={} left_ms={left_ms}",
         routed.id,
         servers.join(","),
         ages.join(","),
@@ -176,6 +195,7 @@
     let in_force: Vec<Quarantine> = in_force.collect();
     let changes = StrikeChanges {
         strikes: Vec::new(),
+        sound: Vec::new(),
         quarantines: state.strikes.apply_quarantines(&in_force, now_ms),
         as_of_ms: now_ms,
     };
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -3,7 +3,8 @@
 
 use std::sync::Arc;
 
-use crate::decide::strikes::{Fingerprint, Quarantine, StrikeDelta};
+use crate::decide::strikes::{Fingerprint, Quarantine, SoundPart, StrikeDelta};
+use crate::gateway::protocol::PROMPT_PARTS_MAX;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::relay::publish::send_in_time;
 use crate::gateway::relay::wire::{self, Message};
@@ -24,6 +25,7 @@
         let as_of_ms = state.now_ms();
         let changes = StrikeChanges {
             strikes: state.strikes.drain_outgoing(as_of_ms),
+            sound: state.strikes.drain_sound(as_of_ms),
             quarantines: Vec::new(),
             as_of_ms,
         };
@@ -40,6 +42,7 @@
     let (strikes, quarantines) = state.strikes.snapshot(as_of_ms, POLICY);
     let changes = StrikeChanges {
         strikes,
+        sound: Vec::new(),
         quarantines,
         as_of_ms,
     };
@@ -59,6 +62,8 @@
         age_ms: strike.age_ms + queued_ms,
         ran_ms: strike.ran_ms,
         is_proven: strike.is_proven,
+        parts: strike.parts.iter().map(|part| part.0).collect(),
+        caller: strike.caller,
     });
     let strikes: Vec<wire::Strike> = strikes.collect();
     for batch in strikes.chunks(STRIKES_PER_MESSAGE_MAX) {
@@ -90,7 +95,8 @@
 
 /// Applies the strikes and quarantines of a message, and passes on those that are new.
 pub(super) fn apply_strikes(state: &State, message: &Message, origin: Option<u64>) {
-    if message.strikes.is_empty() && message.quarantines.is_empty() {
+    let has_strikes = !message.strikes.is_empty() || !message.sound_parts.is_empty();
+    if !has_strikes && message.quarantines.is_empty() {
         return;
     }
     let now_ms = state.now_ms();
@@ -100,9 +106,21 @@
         count: strike.count,
         ran_ms: strike.ran_ms,
         is_proven: strike.is_proven,
+        parts: strike
+            .parts
+            .iter()
+            .take(PROMPT_PARTS_MAX)
+            .map(|part| Fingerprint(*part))
+            .collect(),
+        caller: strike.caller,
         age_ms: strike.age_ms,
     });
     let strikes: Vec<StrikeDelta> = strikes.collect();
+    let sound = message.sound_parts.iter().map(|sound| SoundPart {
+        part: Fingerprint(sound.part),
+        age_ms: sound.age_ms,
+    });
+    let sound: Vec<SoundPart> = sound.collect();
     let quarantines = message.quarantines.iter().map(|quarantine| Quarantine {
         fingerprint: Fingerprint(quarantine.fingerprint),
         left_ms: quarantine.left_ms.min(POLICY.quarantine_max_ms()),
@@ -110,6 +128,7 @@
     let quarantines: Vec<Quarantine> = quarantines.collect();
     let changes = StrikeChanges {
         strikes: state.strikes.apply_remote(&strikes, now_ms, POLICY),
+        sound: state.strikes.apply_sound(&sound, now_ms),
         quarantines: state.strikes.apply_quarantines(&quarantines, now_ms),
         as_of_ms: now_ms,
     };
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -51,6 +51,20 @@
     /// Quarantines that the receiver may not be able to derive from strikes.
     #[prost(message, repeated, tag = "14")]
     pub quarantines: Vec<Quarantine>,
+    /// Parts of prompts on which answers began.
+    #[prost(message, repeated, tag = "15")]
+    pub sound_parts: Vec<SoundPart>,
+}
+
+/// A part of a prompt on which an answer began.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SoundPart {
+    /// Hash of the part's id.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the answer in ms.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Crash of a server under a request, or completion of the request.
@@ -74,6 +88,12 @@
     /// Whether a server completed the request before.
     #[prost(bool, tag = "6")]
     pub is_proven: bool,
+    /// Hashes of the ids of the prompt's parts, if the server had not begun to answer.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub parts: Vec<u64>,
+    /// Hash of the caller's team.
+    #[prost(fixed64, tag = "8")]
+    pub caller: u64,
 }
 
 /// A request that is refused.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -256,6 +256,10 @@
             Ok(response) => {
                 if matches!(response.body, ResponseBody::Complete(_)) {
                     state.record_completion(routed.fingerprint, &server.id);
+                    if response.status.is_success() {
+                        let parts = &routed.prompt_parts;
+                        state.strikes.record_answer(parts, state.now_ms());
+                    }
                 }
                 if !routed.route.is_stream {
                     let elapsed_ms = state.now_ms().saturating_sub(now_ms);
@@ -286,7 +290,8 @@
             Err(failure) => {
                 record_failure(state, routed, history, &server, &failure);
                 if failure.kind == FailureKind::Broken {
-                    crash::check(state, routed, &server, history.last_sent_ms).await;
+                    let sent_ms = history.last_sent_ms;
+                    crash::check(state, routed, &server, sent_ms, false).await;
                 }
                 if !may_retry(state, routed, history, &failure) {
                     return fallback.ok_or_else(|| failure_rejection(history, &failure));
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -8,7 +8,7 @@
 
 use crate::config::routing::Route;
 use crate::decide::strikes::Fingerprint;
-use crate::gateway::protocol::{Prompt, PromptPart};
+use crate::gateway::protocol::Prompt;
 use crate::ids::{Repeat, RequestId, ServerId, ServiceId, TeamId};
 
 /// A caller's request after routing, with everything that its attempts need.
@@ -36,8 +36,8 @@
     pub priority: u32,
     /// The prompt, if it has one.
     pub prompt: Option<Prompt>,
-    /// Parts of the prompt that other requests may have too, in order.
-    pub prompt_parts: Vec<PromptPart>,
+    /// Hashes of the ids of the prompt parts that other requests may have too, in order.
+    pub prompt_parts: Vec<Fingerprint>,
     /// Number of the last event that the caller received, if the request resumes a stream.
     pub last_event: Option<u64>,
     /// Monotonic arrival time in ms.
@@ -52,6 +52,14 @@
         self.route.repeat == Repeat::Idempotent
     }
 
+    /// Hash of the team's name; 0 without a team.
+    pub fn caller_hash(&self) -> u64 {
+        let team = self.team.as_ref();
+        team.map_or(0, |team| {
+            xxhash_rust::xxh3::xxh3_64(team.as_str().as_bytes())
+        })
+    }
+
     /// Time left until the deadline; 0 once it has passed.
     pub fn remaining_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,6 +21,9 @@
 /// Number of allowed gaps between events after which a stream is resumed at another server. One
 /// such gap makes the stream late, and callers leave after eight.
 const STALL_GAPS: u64 = 4;
+/// Time after the first event for which a server goes on with an answer that its prompt does not
+/// crash. Servers with a part that crashes them end within 110 ms.
+const ANSWER_MIN_MS: u64 = 300;
 /// Allowed gap between events if the route sets none.
 const GAP_DEFAULT_MS: u64 = 1_000;
 
@@ -33,6 +36,10 @@
     last_event: Option<u64>,
     /// Time of the last event with data, or of the last recovery.
     progress_ms: u64,
+    /// Time of the first event of the current server.
+    begun_ms: u64,
+    /// Whether the current server has gone on with the answer for `ANSWER_MIN_MS`, or ended it.
+    has_answered: bool,
     events: u64,
     outcome: &'static str,
     _in_flight: InFlightGuard,
@@ -49,6 +56,8 @@
         _in_flight: state.track_request(),
         last_event: routed.last_event,
         progress_ms: state.now_ms(),
+        begun_ms: state.now_ms(),
+        has_answered: false,
         events: 0,
         outcome: "caller_gone",
         source: Some(source),
@@ -92,8 +101,12 @@
             let next = while_reachable(&self.state, &server, next).await;
             match next.unwrap_or(Err(StreamError::Broken)) {
                 Ok(Some(event)) => {
+                    let now_ms = self.state.now_ms();
                     if event.is_progress() {
-                        self.progress_ms = self.state.now_ms();
+                        self.progress_ms = now_ms;
+                    }
+                    if now_ms >= self.begun_ms + ANSWER_MIN_MS {
+                        self.record_answer(now_ms);
                     }
                     if let Some(bytes) = self.join_buffered(event) {
                         return Ok(Some(bytes));
@@ -104,6 +117,7 @@
                     if let Some(source) = self.source.take() {
                         let fingerprint = self.routed.fingerprint;
                         self.state.record_completion(fingerprint, &server.id);
+                        self.record_answer(self.state.now_ms());
                         source.release_connection(&self.state);
                     }
                     return Ok(None);
@@ -116,6 +130,15 @@
         }
     }
 
+    /// Records that no part of the prompt crashes each server that begins to answer.
+    fn record_answer(&mut self, now_ms: u64) {
+        if !self.has_answered {
+            self.has_answered = true;
+            let parts = &self.routed.prompt_parts;
+            self.state.strikes.record_answer(parts, now_ms);
+        }
+    }
+
     /// Joins an event with those already received after it; `None` if the caller has all of them.
     fn join_buffered(&mut self, event: RawEvent) -> Option<Bytes> {
         let mut joined = BytesMut::new();
@@ -159,7 +182,8 @@
         let server = registration.as_ref().map(|server| server.id.clone());
         if let Some(registration) = registration.filter(|_| cause == StreamError::Broken) {
             let sent_ms = self.history.last_sent_ms;
-            crash::check(&self.state, &self.routed, &registration, sent_ms).await;
+            let (state, routed) = (&self.state, &self.routed);
+            crash::check(state, routed, &registration, sent_ms, self.has_answered).await;
         }
         let can_resume =
             self.routed.route.can_resume && may_repeat(&self.state, &self.routed, &self.history);
@@ -193,6 +217,8 @@
         match resumed.map(|response| (response.status.is_success(), response.body)) {
             Ok((true, ResponseBody::Stream(source))) => {
                 self.source = Some(*source);
+                self.begun_ms = self.state.now_ms();
+                self.has_answered = false;
                 Ok(())
             }
             Ok(_) => {
--- a/src/gateway/strike_feed.rs
+++ b/src/gateway/strike_feed.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use crate::decide::strikes::{Quarantine, StrikeDelta};
+use crate::decide::strikes::{Quarantine, SoundPart, StrikeDelta};
 
 /// Capacity of a link's queue. A link that falls further behind is closed, and receives a snapshot
 /// when it has been opened again.
@@ -18,6 +18,8 @@
 pub struct StrikeChanges {
     /// Crashes and completions.
     pub strikes: Vec<StrikeDelta>,
+    /// Parts of prompts on which answers began.
+    pub sound: Vec<SoundPart>,
     /// Quarantines that were not derived from strikes.
     pub quarantines: Vec<Quarantine>,
     /// Monotonic time in ms at which ages and remaining times were taken.
@@ -27,7 +29,7 @@
 impl StrikeChanges {
     /// Whether there is nothing to send.
     pub fn is_empty(&self) -> bool {
-        self.strikes.is_empty() && self.quarantines.is_empty()
+        self.strikes.is_empty() && self.sound.is_empty() && self.quarantines.is_empty()
     }
 }
 
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -2,6 +2,7 @@
 //! faults that the test queues.
 
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,6 +81,7 @@
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
+    events_before_crash: u64,
 }
 
 impl State {
@@ -199,6 +201,11 @@
         self.state.lock().run_time = run_time;
     }
 
+    /// Sets the number of events that a stream has before the server crashes under it; 0 at first.
+    pub fn set_events_before_crash(&self, events: u64) {
+        self.state.lock().events_before_crash = events;
+    }
+
     /// Queues a fault. Each request consumes one queued fault.
     pub fn inject_fault(&self, fault: Fault) {
         self.state.lock().queued_faults.push_back(fault);
@@ -257,13 +264,26 @@
         headers: parts.headers,
         body,
     });
-    if is_crashing {
+    let events_before_crash = state.lock().events_before_crash;
+    let crashing = Arc::clone(&state);
+    let crash = async move {
         Timer::after(CRASH_DELAY).await;
         // Several requests may crash one incarnation.
         if stop.close() {
-            state.lock().crashes += 1;
+            crashing.lock().crashes += 1;
         }
-        return std::future::pending().await;
+        std::future::pending().await
+    };
+    if is_crashing && (events_before_crash == 0 || !is_stream) {
+        return crash.await;
+    }
+    if is_crashing {
+        let response = crashing_events(after, events_before_crash, crash);
+        let response = with_header(response, "x-server-stamp", &format!("stamp-{id}"));
+        return match request_id.as_ref().and_then(|id| id.to_str().ok()) {
+            Some(request_id) => with_header(response, "x-request-id", request_id),
+            None => response,
+        };
     }
     let run_time = match fault {
         Some(Fault::Slow(delay)) => delay,
@@ -297,6 +317,22 @@
     }
 }
 
+/// Streams `count` events above `after`, then waits for `crash`, which never returns.
+fn crashing_events<F>(after: u64, count: u64, crash: F) -> Response<Body>
+where
+    F: Future<Output = Response<Body>> + Send + Sync + 'static,
+{
+    let event = |id: u64| Frame::data(Bytes::from(format!("id: {id}\ndata: event {id}\n\n")));
+    let events = stream::iter((after + 1..=after + count).map(move |id| Ok(event(id))));
+    let crash = stream::once(async {
+        crash.await;
+        Err(io::Error::other("crashed on request"))
+    });
+    let parts = futures_util::StreamExt::chain(events, crash);
+    let response = Response::new(StreamBody::new(parts).boxed());
+    with_header(response, "content-type", "text/event-stream")
+}
+
 fn with_header(mut response: Response<Body>, name: &'static str, value: &str) -> Response<Body> {
     if let Ok(value) = HeaderValue::from_str(value) {
         let name = HeaderName::from_static(name);
