Test answers and streams that end with their connection

Unstreamed bodies of that kind stay rejected on the chats' interface, where nothing tells a whole one from a cut one.

--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -192,6 +192,7 @@
         return std::future::pending().await;
     }
     let mut response = match completion.stream {
+        true if faults.is_unframed => without_framing(event_stream(reader)),
         true => event_stream(reader),
         false => complete_response(reader, &response_chat, &faults).await,
     };
@@ -235,13 +236,17 @@
         return response;
     }
     if faults.is_unframed {
-        let mut response = Response::new(body_from([Ok(Frame::data(half))]));
-        *response.version_mut() = Version::HTTP_10;
-        return response;
+        return without_framing(Response::new(body_from([Ok(Frame::data(half))])));
     }
     json_response(StatusCode::OK, &value)
 }
 
+/// Makes the body end with its connection, without a length and without chunks.
+fn without_framing(mut response: Response<Body>) -> Response<Body> {
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 fn body_from<const N: usize>(parts: [io::Result<Frame<Bytes>>; N]) -> Body {
     let parts = futures_util::stream::iter(parts).then(|part| async {
         if part.is_err() {
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -101,8 +101,8 @@
     pub is_hung: bool,
     /// Rejects all attempts to resume a stream.
     pub refuses_resume: bool,
-    /// Sends responses that are not streamed with neither a content length nor chunked encoding,
-    /// and only half of their body.
+    /// Sends responses with neither a content length nor chunked encoding; of those that are not
+    /// streamed only half of the body.
     pub is_unframed: bool,
     /// Responds with this status without running the request.
     pub status: Option<u16>,
--- a/tests/response_integrity.rs
+++ b/tests/response_integrity.rs
@@ -206,6 +206,24 @@
     }
 }
 
+/// Guards against a failure of a stream that has neither a length nor chunks and ends with its
+/// connection: its last event tells that it is complete. If it ends before that, it is resumed.
+#[test]
+fn unframed_stream_is_complete_after_its_last_event() {
+    let (env, router) = open(2, |options| options);
+    for end_after_events in [None, Some(3)] {
+        for engine in &env.engines {
+            engine.set_faults(Faults {
+                is_unframed: true,
+                end_after_events,
+                ..Faults::default()
+            });
+        }
+        let response = stream_chat(router.address, "c");
+        assert!(response.is_complete(TOKENS), "{response:?}");
+    }
+}
+
 /// Guards against engines that keep working on requests whose callers have disconnected.
 #[test]
 fn caller_disconnected_cancels_the_engines_work() {
