Count a crash only while its availability zone can be reached

Cause: the cut refuses connections to all servers of the other zones. The routers in the cut took that for crashes under the prompts in hand, quarantined their parts, and stored and passed that on when the cut had healed.

A refused connection now counts only if another server of the same zone, of any service, accepts one; servers that crashed themselves are no witnesses, and where there is no other server it counts as before. A zone that fails as a whole gives no strikes either. The result holds 0.3 s for all requests that ran on the server.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,22 +1,65 @@
 //! Crashes of servers while they ran a request.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
 use crate::decide::part_strikes::CrashedRun;
 use crate::decide::registry::Registration;
 use crate::decide::strikes::Fingerprint;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
+use crate::ids::ServerId;
 use crate::runtime::with_timeout;
 
-/// Longest wait for the probe's connection: servers are within a few ms, and a retry waits for it.
+/// Longest wait for a probe's connection: servers are within a few ms, and a retry waits for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of other servers of the availability zone that are probed, one after the other.
+const WITNESSES_MAX: usize = 2;
+/// Time for which the result of a probe holds for the other requests that ran on the server.
+const RESULT_VALID_MS: u64 = 300;
+/// Number of results that are kept.
+const RESULTS_MAX: usize = 256;
+
+/// Results of recent probes: whether the server had crashed, and when that was found.
+#[derive(Debug, Default)]
+pub struct CrashProbes(Mutex<IndexMap<ServerId, (bool, u64)>>);
+
+impl CrashProbes {
+    fn recent(&self, server: &ServerId, broken_ms: u64) -> Option<bool> {
+        let results = self.0.lock();
+        let (has_crashed, at_ms) = results.get(server)?;
+        // A server that was found running may have crashed since.
+        let valid_ms = match has_crashed {
+            true => at_ms + RESULT_VALID_MS,
+            false => *at_ms,
+        };
+        (broken_ms <= valid_ms).then_some(*has_crashed)
+    }
+
+    fn has_crashed(&self, server: &ServerId) -> bool {
+        let results = self.0.lock();
+        results.get(server).is_some_and(|(crashed, _)| *crashed)
+    }
 
-/// Records a strike if the server of a broken connection no longer listens. A server that accepts a
-/// connection has only reset the other one, a path without an answer shows nothing, and a server
-/// that was leaving has ended as planned.
+    fn record(&self, server: &ServerId, has_crashed: bool, now_ms: u64) {
+        let mut results = self.0.lock();
+        if results.len() >= RESULTS_MAX {
+            results.clear();
+        }
+        results.insert(server.clone(), (has_crashed, now_ms));
+    }
+}
+
+/// Records a strike if the server of a broken connection no longer listens, while another one of its
+/// availability zone can be reached. A server that accepts a connection has only reset the other
+/// one, and a path without an answer shows nothing; a path that is cut may refuse connections to the
+/// whole zone, and a zone that fails ends servers whatever they run; and a server that was leaving
+/// has ended as planned.
 ///
 /// `has_answered` tells that the server had gone on with an answer for some time, so that no part of
 /// the prompt is the cause.
@@ -28,8 +71,7 @@
     has_answered: bool,
 ) {
     let broken_ms = state.now_ms();
-    let is_leaving = state.registration(&server.id).is_none();
-    if is_leaving || !is_refused(state, server).await {
+    if !has_crashed(state, server, broken_ms).await {
         return;
     }
     let ran_ms = broken_ms.saturating_sub(sent_ms);
@@ -57,14 +99,51 @@
     state.metrics.count_strike(status);
 }
 
-async fn is_refused(state: &State, server: &Registration) -> bool {
-    match with_timeout(PROBE_TIMEOUT, state.pool.connect(server.address)).await {
+async fn has_crashed(state: &State, server: &Registration, broken_ms: u64) -> bool {
+    if let Some(has_crashed) = state.crash_probes.recent(&server.id, broken_ms) {
+        return has_crashed;
+    }
+    let is_leaving = state.registration(&server.id).is_none();
+    let has_crashed = !is_leaving
+        && probe(state, server.address).await == Probe::Refused
+        && is_zone_reached(state, server).await;
+    state
+        .crash_probes
+        .record(&server.id, has_crashed, state.now_ms());
+    has_crashed
+}
+
+/// Whether another server of the availability zone accepts a connection; true if there is none that
+/// has not crashed itself.
+async fn is_zone_reached(state: &State, server: &Registration) -> bool {
+    let mut witnesses = state.servers_nearby(server);
+    witnesses.retain(|witness| !state.crash_probes.has_crashed(&witness.id));
+    witnesses.truncate(WITNESSES_MAX);
+    for witness in &witnesses {
+        if probe(state, witness.address).await == Probe::Accepted {
+            return true;
+        }
+    }
+    witnesses.is_empty()
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Probe {
+    Accepted,
+    Refused,
+    Unknown,
+}
+
+async fn probe(state: &State, address: SocketAddr) -> Probe {
+    match with_timeout(PROBE_TIMEOUT, state.pool.connect(address)).await {
         Some(Ok(connection)) => {
-            state.pool.release(server.address, connection);
-            false
+            state.pool.release(address, connection);
+            Probe::Accepted
         }
-        Some(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        None => false,
+        // A server at its connection limit closes a new connection at once.
+        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted => Probe::Accepted,
+        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Some(Err(_)) | None => Probe::Unknown,
     }
 }
 
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -52,6 +52,14 @@
         last_activity.entry(server.clone()).or_default().clone()
     }
 
+    /// Time of a server's last activity, in ms of the monotonic clock; 0 if there was none.
+    pub fn active_ms(&self, server: &ServerId) -> u64 {
+        let last_activity = self.last_activity.lock();
+        last_activity
+            .get(server)
+            .map_or(0, |active| active.0.load(Ordering::Relaxed))
+    }
+
     /// Records that no connection to a server could be opened.
     pub fn record_unreachable(&self, server: &ServerId, now_ms: u64) {
         if self.health.lock().record_unreachable(server, now_ms) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of a gateway.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
@@ -20,6 +21,7 @@
 use crate::edge::clock::Clock;
 use crate::error::Result;
 use crate::gateway::caller_timeouts::CallerTimeouts;
+use crate::gateway::crash::CrashProbes;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
 use crate::gateway::freshness::Freshness;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
@@ -97,6 +99,8 @@
     pub reachability: Reachability,
     /// Crashes of servers, by the requests that they ran.
     pub strikes: Strikes,
+    /// Recent probes of servers whose connection broke.
+    pub crash_probes: CrashProbes,
     /// Passes changes of the strikes on to other routers.
     pub strike_feed: StrikeFeed,
     /// Protocol of the callers.
@@ -162,6 +166,7 @@
             pool,
             reachability: Reachability::default(),
             strikes,
+            crash_probes: CrashProbes::default(),
             strike_feed: StrikeFeed::default(),
             callers,
             backends,
@@ -227,6 +232,18 @@
         self.registry.lock().get(server, self.now_ms()).cloned()
     }
 
+    /// Other servers of the same availability zone, of any service, those first that were active
+    /// last.
+    pub fn servers_nearby(&self, server: &Registration) -> Vec<Registration> {
+        let registry = self.registry.lock();
+        let nearby = registry.all().filter(|other| {
+            other.zone == server.zone && other.address != server.address && !other.is_leaving
+        });
+        let mut nearby: Vec<Registration> = nearby.cloned().collect();
+        nearby.sort_by_key(|other| Reverse(self.reachability.active_ms(&other.id)));
+        nearby
+    }
+
     /// Records that a server ran a request with these shared prompt parts.
     pub fn record_prompt_server(&self, shared_hash: u64, server: &ServerId) {
         self.homes.lock().record(shared_hash, server, self.now_ms());
