Let the soak draw requests and prompt parts that crash servers, and probe twice

The soak now sends a series of each kind, through random routers beside the other faults, to servers that end and start again, and checks that no request refused as not run has run, that they reach servers at most three times later than the contact time after the third or fifth crash, and that no sound request is refused because of them.

A server that accepts a connection after a break is now probed once more after 60 ms, without delaying a retry; the soak has six servers.

--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -146,23 +146,16 @@
         crash: ServerCrash,
         policy: StrikePolicy,
     ) -> StrikeStatus {
-        let ServerCrash {
-            fingerprint,
-            ran_ms,
-            now_ms,
-        } = crash;
-        let status = {
-            let mut tracker = self.0.tracker.lock();
-            let status = tracker.on_server_crash(fingerprint, server, ran_ms, now_ms, policy);
-            self.0.is_active.store(true, Ordering::Release);
-            status
+        let run = CrashedRun {
+            parts: Vec::new(),
+            request: crash.fingerprint,
+            caller: 0,
+            server: server.clone(),
+            started_ms: crash.now_ms.saturating_sub(crash.ran_ms),
+            at_ms: crash.now_ms,
         };
+        let status = self.record_run_crash(run, policy);
         self.0.incarnations.lock().swap_remove(server);
-        self.notify();
-        log::warn!(
-            "event=strike fingerprint={fingerprint} server={server} ran_ms={ran_ms} standing={}",
-            status.name(),
-        );
         status
     }
 
--- a/src/decide/part_strikes.rs
+++ b/src/decide/part_strikes.rs
@@ -12,7 +12,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::decide::strikes::{Completions, Evidence, Fingerprint, Incarnation, StrikePolicy};
+use crate::decide::strikes::{
+    Completions, Evidence, Fingerprint, Incarnation, StrikePolicy, confirm,
+};
 use crate::ids::ServerId;
 
 /// Maximum number of runs that are kept, the newest ones.
@@ -309,12 +311,9 @@
         let mut retracted: IndexSet<Fingerprint> = IndexSet::new();
         self.runs.retain_mut(|run| {
             let age_ms = now_ms.saturating_sub(run.crashed.at_ms);
-            if run.is_confirmed || age_ms < confirmed_after_ms {
-                return true;
-            }
-            let incarnation = incarnation(&run.crashed.server, age_ms);
-            run.is_confirmed = incarnation == Incarnation::Ended;
-            let is_kept = incarnation != Incarnation::Running;
+            let server = &run.crashed.server;
+            let is_kept = age_ms < confirmed_after_ms
+                || confirm(&mut run.is_confirmed, || incarnation(server, age_ms));
             if !is_kept {
                 retracted.extend(&run.crashed.parts);
             }
--- a/src/decide/part_strikes/tests.rs
+++ b/src/decide/part_strikes/tests.rs
@@ -112,6 +112,22 @@
     assert_eq!(quarantined, [fingerprint(BAD, Callers::All)]);
 }
 
+/// Guards against refusing the first part that two crashing parts have in common.
+#[test]
+fn add_two_crashing_parts_at_a_time_are_both_quarantined() {
+    let other = Fingerprint(0xbad2);
+    let mut strikes = PartStrikes::default();
+    strikes.record_sound(&[FIRST, SOUND], 500);
+    let mut quarantined = Vec::new();
+    for number in 0..6 {
+        let part = if number % 2 == 0 { BAD } else { other };
+        let crashed = run(number, 1_000 + number * 300, &[FIRST, part]);
+        quarantined.extend(add(&mut strikes, crashed));
+    }
+    let expected = [BAD, other].map(|part| fingerprint(part, Callers::One(TEAM)));
+    assert_eq!(quarantined, expected);
+}
+
 /// Guards against counting one crash for each router that reports it, or for each request that ran on
 /// the server.
 #[test]
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -286,6 +286,21 @@
     Unknown,
 }
 
+/// Reviews evidence for the crash of a server; returns whether it is kept.
+pub(super) fn confirm<I>(is_confirmed: &mut bool, incarnation: I) -> bool
+where
+    I: FnOnce() -> Incarnation,
+{
+    if !*is_confirmed {
+        match incarnation() {
+            Incarnation::Running => return false,
+            Incarnation::Ended => *is_confirmed = true,
+            Incarnation::Unknown => {}
+        }
+    }
+    true
+}
+
 /// Strikes known to a router, its own and those received from other routers.
 #[derive(Debug, Default)]
 pub struct StrikeTracker {
@@ -673,12 +688,11 @@
             let count_before = entry.strikes.len();
             entry.strikes.retain_mut(|strike| {
                 let age_ms = now_ms.saturating_sub(strike.at_ms);
-                if strike.is_confirmed || age_ms < confirmed_after_ms {
-                    return true;
-                }
-                let incarnation = incarnation(&strike.server, age_ms);
-                strike.is_confirmed = incarnation == Incarnation::Ended;
-                incarnation != Incarnation::Running
+                let is_due = age_ms >= confirmed_after_ms;
+                !is_due
+                    || confirm(&mut strike.is_confirmed, || {
+                        incarnation(&strike.server, age_ms)
+                    })
             });
             let is_retracted = entry.strikes.len() < count_before;
             let earlier = entry.quarantines.saturating_sub(1);
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -2,22 +2,26 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
+use crate::config::routing::Route;
 use crate::decide::part_strikes::CrashedRun;
 use crate::decide::registry::Registration;
 use crate::decide::strikes::Fingerprint;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
-use crate::ids::ServerId;
+use crate::ids::{RequestId, ServerId};
 use crate::runtime::with_timeout;
 
 /// Longest wait for a probe's connection: servers are within a few ms, and a retry waits for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause before a server that accepted a connection is probed once more.
+const SECOND_PROBE_DELAY: Duration = Duration::from_millis(60);
 /// Number of other servers of the availability zone that are probed, one after the other.
 const WITNESSES_MAX: usize = 2;
 /// Time for which the result of a probe holds for the other requests that ran on the server.
@@ -30,7 +34,7 @@
 pub struct CrashProbes(Mutex<IndexMap<ServerId, (bool, u64)>>);
 
 impl CrashProbes {
-    fn recent(&self, server: &ServerId, broken_ms: u64) -> Option<bool> {
+    fn recent(&self, server: &ServerId, as_of_ms: u64) -> Option<bool> {
         let results = self.0.lock();
         let (has_crashed, at_ms) = results.get(server)?;
         // A server that was found running may have crashed since.
@@ -38,7 +42,7 @@
             true => at_ms + RESULT_VALID_MS,
             false => *at_ms,
         };
-        (broken_ms <= valid_ms).then_some(*has_crashed)
+        (as_of_ms <= valid_ms).then_some(*has_crashed)
     }
 
     fn has_crashed(&self, server: &ServerId) -> bool {
@@ -63,44 +67,74 @@
 ///
 /// `has_answered` tells that the server had gone on with an answer for some time, so that no part of
 /// the prompt is the cause.
+///
+/// A server that still accepts connections is probed once more, without delaying a retry: the
+/// listener of a process that ends may be closed after its connections.
 pub async fn check(
-    state: &State,
+    state: &Arc<State>,
     routed: &RoutedRequest,
     server: &Registration,
     sent_ms: u64,
     has_answered: bool,
 ) {
     let broken_ms = state.now_ms();
-    if !has_crashed(state, server, broken_ms).await {
-        return;
-    }
-    let ran_ms = broken_ms.saturating_sub(sent_ms);
-    log::warn!(
-        "event=crashed id={} fingerprint={} parts={} route={} server={} ran_ms={ran_ms}",
-        routed.id,
-        routed.fingerprint,
-        join(&routed.prompt_parts),
-        routed.route.name,
-        server.id,
-    );
     let parts = match has_answered {
         true => Vec::new(),
         false => routed.prompt_parts.clone(),
     };
-    let run = CrashedRun {
-        parts,
-        request: routed.fingerprint,
-        caller: routed.caller_hash(),
-        server: server.id.clone(),
-        started_ms: sent_ms,
-        at_ms: broken_ms,
+    let broken = BrokenRun {
+        id: routed.id.clone(),
+        route: Arc::clone(&routed.route),
+        crashed: CrashedRun {
+            parts,
+            request: routed.fingerprint,
+            caller: routed.caller_hash(),
+            server: server.id.clone(),
+            started_ms: sent_ms,
+            at_ms: broken_ms,
+        },
     };
-    let status = state.strikes.record_run_crash(run, POLICY);
-    state.metrics.count_strike(status);
+    if has_crashed(state, server, broken_ms).await {
+        broken.record(state);
+        return;
+    }
+    let (shared, server) = (Arc::clone(state), server.clone());
+    state.runtime.spawn_detached(async move {
+        smol::Timer::after(SECOND_PROBE_DELAY).await;
+        if has_crashed(&shared, &server, shared.now_ms()).await {
+            broken.record(&shared);
+        }
+    });
+}
+
+/// A run whose connection broke.
+struct BrokenRun {
+    id: RequestId,
+    route: Arc<Route>,
+    crashed: CrashedRun,
+}
+
+impl BrokenRun {
+    /// Records that the server crashed.
+    fn record(self, state: &State) {
+        let run = self.crashed;
+        log::warn!(
+            "event=crashed id={} fingerprint={} parts={} route={} server={} ran_ms={}",
+            self.id,
+            run.request,
+            join(&run.parts),
+            self.route.name,
+            run.server,
+            run.at_ms.saturating_sub(run.started_ms),
+        );
+        let status = state.strikes.record_run_crash(run, POLICY);
+        state.metrics.count_strike(status);
+    }
 }
 
-async fn has_crashed(state: &State, server: &Registration, broken_ms: u64) -> bool {
-    if let Some(has_crashed) = state.crash_probes.recent(&server.id, broken_ms) {
+/// Whether a server whose connection broke has crashed, as far as known at `as_of_ms` or later.
+async fn has_crashed(state: &State, server: &Registration, as_of_ms: u64) -> bool {
+    if let Some(has_crashed) = state.crash_probes.recent(&server.id, as_of_ms) {
         return has_crashed;
     }
     let is_leaving = state.registration(&server.id).is_none();
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -14,8 +14,8 @@
 use crate::ids::ServerId;
 use crate::peer::frame::{FrameWriter, LinkError};
 
-/// Maximum number of strikes in a message, which keeps it well below the largest frame.
-const STRIKES_PER_MESSAGE_MAX: usize = 500;
+/// Maximum number of entries in a message, which keeps it well below the largest frame.
+const ENTRIES_PER_MESSAGE_MAX: usize = 500;
 
 /// Publishes the strikes that this router records. Never returns.
 pub(super) async fn publish_loop(relay: Arc<Relay>) {
@@ -55,67 +55,78 @@
     changes: &StrikeChanges,
 ) -> Result<(), LinkError> {
     let queued_ms = state.now_ms().saturating_sub(changes.as_of_ms);
-    let strikes = changes.strikes.iter().map(|strike| wire::Strike {
-        fingerprint: strike.fingerprint.0,
-        server: strike.server.as_str().to_owned(),
-        count: strike.count,
-        age_ms: strike.age_ms + queued_ms,
-        ran_ms: strike.ran_ms,
-        is_proven: strike.is_proven,
-        parts: strike.parts.iter().map(|part| part.0).collect(),
-        caller: strike.caller,
-    });
-    let strikes: Vec<wire::Strike> = strikes.collect();
-    for batch in strikes.chunks(STRIKES_PER_MESSAGE_MAX) {
+    let empty = Message {
+        table: NO_TABLE,
+        ..Message::default()
+    };
+    for batch in changes.strikes.chunks(ENTRIES_PER_MESSAGE_MAX) {
+        let strikes = batch.iter().map(|strike| encode(strike, queued_ms));
         let message = Message {
-            table: NO_TABLE,
-            strikes: batch.to_vec(),
-            ..Message::default()
+            strikes: strikes.collect(),
+            ..empty.clone()
         };
         send_in_time(writer, &message).await?;
     }
-    let quarantines = changes
-        .quarantines
-        .iter()
-        .map(|quarantine| wire::Quarantine {
+    for batch in changes.sound.chunks(ENTRIES_PER_MESSAGE_MAX) {
+        let sound_parts = batch.iter().map(|sound| wire::SoundPart {
+            part: sound.part.0,
+            age_ms: sound.age_ms + queued_ms,
+        });
+        let message = Message {
+            sound_parts: sound_parts.collect(),
+            ..empty.clone()
+        };
+        send_in_time(writer, &message).await?;
+    }
+    for batch in changes.quarantines.chunks(ENTRIES_PER_MESSAGE_MAX) {
+        let quarantines = batch.iter().map(|quarantine| wire::Quarantine {
             fingerprint: quarantine.fingerprint.0,
             left_ms: quarantine.left_ms.saturating_sub(queued_ms),
         });
-    let quarantines: Vec<wire::Quarantine> = quarantines.collect();
-    for batch in quarantines.chunks(STRIKES_PER_MESSAGE_MAX) {
         let message = Message {
-            table: NO_TABLE,
-            quarantines: batch.to_vec(),
-            ..Message::default()
+            quarantines: quarantines.collect(),
+            ..empty.clone()
         };
         send_in_time(writer, &message).await?;
     }
     Ok(())
 }
 
-/// Applies the strikes and quarantines of a message, and passes on those that are new.
-pub(super) fn apply_strikes(state: &State, message: &Message, origin: Option<u64>) {
-    let has_strikes = !message.strikes.is_empty() || !message.sound_parts.is_empty();
-    if !has_strikes && message.quarantines.is_empty() {
-        return;
+fn encode(strike: &StrikeDelta, queued_ms: u64) -> wire::Strike {
+    wire::Strike {
+        fingerprint: strike.fingerprint.0,
+        server: strike.server.as_str().to_owned(),
+        count: strike.count,
+        age_ms: strike.age_ms + queued_ms,
+        ran_ms: strike.ran_ms,
+        is_proven: strike.is_proven,
+        parts: strike.parts.iter().map(|part| part.0).collect(),
+        caller: strike.caller,
     }
-    let now_ms = state.now_ms();
-    let strikes = message.strikes.iter().map(|strike| StrikeDelta {
+}
+
+fn decode(strike: &wire::Strike) -> StrikeDelta {
+    let parts = strike.parts.iter().take(PROMPT_PARTS_MAX);
+    StrikeDelta {
         fingerprint: Fingerprint(strike.fingerprint),
         server: ServerId::from(strike.server.as_str()),
         count: strike.count,
         ran_ms: strike.ran_ms,
         is_proven: strike.is_proven,
-        parts: strike
-            .parts
-            .iter()
-            .take(PROMPT_PARTS_MAX)
-            .map(|part| Fingerprint(*part))
-            .collect(),
+        parts: parts.map(|part| Fingerprint(*part)).collect(),
         caller: strike.caller,
         age_ms: strike.age_ms,
-    });
-    let strikes: Vec<StrikeDelta> = strikes.collect();
+    }
+}
+
+/// Applies the strikes and quarantines of a message, and passes on those that are new.
+pub(super) fn apply_strikes(state: &State, message: &Message, origin: Option<u64>) {
+    let has_strikes = !message.strikes.is_empty() || !message.sound_parts.is_empty();
+    if !has_strikes && message.quarantines.is_empty() {
+        return;
+    }
+    let now_ms = state.now_ms();
+    let strikes: Vec<StrikeDelta> = message.strikes.iter().map(decode).collect();
     let sound = message.sound_parts.iter().map(|sound| SoundPart {
         part: Fingerprint(sound.part),
         age_ms: sound.age_ms,
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -1,6 +1,9 @@
 //! Messages between a router and its subscribers, or between two seeds. Fields may be added; their
 //! numbers are never reused, and routers of older versions ignore those that they do not know.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 
 /// An update of one table, or request counts. The first message of a subscriber contains only the
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -64,6 +64,8 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
+    /// When it was received.
+    pub received_at: Instant,
 }
 
 impl Run {
@@ -263,6 +265,7 @@
         target: format!("{} {}", parts.method, parts.uri),
         headers: parts.headers,
         body,
+        received_at: Instant::now(),
     });
     let events_before_crash = state.lock().events_before_crash;
     let crashing = Arc::clone(&state);
