Bound the queue of sound parts, and accept any age from a peer

A router without relay links would queue sound parts without end, and an age near the largest number overflowed when a strike was passed on, which ended the link's task in a debug build. Found by reading; no run showed either.

--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -518,18 +518,27 @@
             entry.quarantine(at_ms, policy);
         }
         self.newly_quarantined.extend(outcome.quarantined);
-        self.outgoing_sound.extend(outcome.proven);
+        self.queue_sound(outcome.proven);
         outcome.is_new
     }
 
+    /// Queues sound parts for other routers, as many as the queue has room for.
+    fn queue_sound<S>(&mut self, sound: S)
+    where
+        S: IntoIterator<Item = (Fingerprint, u64)>,
+    {
+        let room = OUTGOING_MAX.saturating_sub(self.outgoing_sound.len());
+        self.outgoing_sound.extend(sound.into_iter().take(room));
+    }
+
     /// Records that a server went on with an answer on these parts, so that none of them crashes
     /// every server. Returns whether other routers need to know.
     pub fn on_answer_begun(&mut self, parts: &[Fingerprint], now_ms: u64) -> bool {
         let struck = self.parts.record_sound(parts, now_ms);
         for part in &struck {
             self.lift_part(*part, now_ms);
-            self.outgoing_sound.push((*part, now_ms));
         }
+        self.queue_sound(struck.iter().map(|part| (*part, now_ms)));
         !struck.is_empty()
     }
 
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -70,7 +70,7 @@
     for batch in changes.sound.chunks(ENTRIES_PER_MESSAGE_MAX) {
         let sound_parts = batch.iter().map(|sound| wire::SoundPart {
             part: sound.part.0,
-            age_ms: sound.age_ms + queued_ms,
+            age_ms: sound.age_ms.saturating_add(queued_ms),
         });
         let message = Message {
             sound_parts: sound_parts.collect(),
@@ -97,7 +97,8 @@
         fingerprint: strike.fingerprint.0,
         server: strike.server.as_str().to_owned(),
         count: strike.count,
-        age_ms: strike.age_ms + queued_ms,
+        // A faulty peer may state any age.
+        age_ms: strike.age_ms.saturating_add(queued_ms),
         ran_ms: strike.ran_ms,
         is_proven: strike.is_proven,
         parts: strike.parts.iter().map(|part| part.0).collect(),
