Take no crashed server as a witness that its zone can be reached

A request went on to crash all six servers of a zone through two routers and was not quarantined; callers got no_server.

Cause: a router probes two other servers of the zone before it counts a crash. Servers that had crashed under the requests of another router were among them, as it excluded only those whose crash it had seen itself, and both refused.

Servers with a strike from any router are no longer witnesses.

--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -315,6 +315,11 @@
         self.0.tracker.lock().evidence(fingerprint, now_ms)
     }
 
+    /// Whether a server crashed under any request, as far as this router or another one saw.
+    pub fn has_server_crashed(&self, server: &ServerId) -> bool {
+        self.is_active() && self.0.tracker.lock().has_crashed(server)
+    }
+
     /// Strikes that count and quarantines in force, for a router that has just been linked.
     pub fn snapshot(
         &self,
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -371,6 +371,12 @@
             .collect()
     }
 
+    /// Whether a server crashed under any request.
+    pub fn has_crashed(&self, server: &ServerId) -> bool {
+        let mut strikes = self.entries.values().flat_map(|entry| &entry.strikes);
+        strikes.any(|strike| strike.server == *server)
+    }
+
     /// Strikes that count, and the quarantines that cannot be derived from them, for a router that has
     /// just been linked.
     pub fn snapshot(
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -151,7 +151,10 @@
 /// has not crashed itself.
 async fn is_zone_reached(state: &State, server: &Registration) -> bool {
     let mut witnesses = state.servers_nearby(server);
-    witnesses.retain(|witness| !state.crash_probes.has_crashed(&witness.id));
+    witnesses.retain(|witness| {
+        let id = &witness.id;
+        !state.crash_probes.has_crashed(id) && !state.strikes.has_server_crashed(id)
+    });
     witnesses.truncate(WITNESSES_MAX);
     for witness in &witnesses {
         if probe(state, witness.address).await == Probe::Accepted {
