Give no strike to a run whose server ended only under a later one

A request whose connection was reset got a strike although its server went on running: another request crashed the server within the 60 ms before the second probe.

The second probe is now skipped if a crash of that server has been found in between.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -101,6 +101,10 @@
     let (shared, server) = (Arc::clone(state), server.clone());
     state.runtime.spawn_detached(async move {
         smol::Timer::after(SECOND_PROBE_DELAY).await;
+        if shared.crash_probes.has_crashed(&server.id) {
+            // It was running when this connection broke, and ended under another run.
+            return;
+        }
         if has_crashed(&shared, &server, shared.now_ms()).await {
             broken.record(&shared);
         }
