--- a/examples/measure_config.rs
+++ b/examples/measure_config.rs
@@ -26,6 +26,8 @@
 
 type BoxResult<T> = Result<T, Box<dyn Error>>;
 
+/// Time in which the overlay network settles: each router knows the others and keeps its links.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 const SHARED_KEY: &str = "a shared key of the measurement";
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Time within which a change must be in force at every router (requirement R7).
@@ -162,8 +164,7 @@
                 .routers
                 .push(spawn_router(&path, address, sender.clone())?);
         }
-        // Lets the overlay network settle: each router knows the others and keeps its links.
-        thread::sleep(Duration::from_secs(5));
+        thread::sleep(SETTLE_TIME);
         Ok(testbed)
     }
 
--- a/model/src/scenario.rs
+++ b/model/src/scenario.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Rates, lengths and goals are from the users' sheets (`cmos-booking`).
+/// Rates, lengths and latency targets of the deployment `cmos-booking`.
 fn small(burst: Burst) -> Scenario {
     Scenario {
         routers: 7,
@@ -109,7 +109,7 @@
     }
 }
 
-/// Rates, lengths and goals are from the users' sheets (`cmos-booking-grown`).
+/// Rates, lengths and latency targets of the deployment `cmos-booking-grown`.
 fn grown(burst: Burst) -> Scenario {
     Scenario {
         routers: 75,
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -8,299 +8,45 @@
 //! may have a common cause count once: a popular request runs on many of the servers that a failure
 //! of their availability zone ends together.
 
+mod completions;
+mod entry;
+mod parts;
+mod snapshot;
 #[cfg(test)]
 mod tests;
+mod types;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
-use crate::decide::part_strikes::{
-    Callers, CrashedRun, PartStrikes, fingerprint as part_fingerprint,
-};
+use crate::decide::part_strikes::{CrashedRun, PartStrikes};
 use crate::ids::ServerId;
 
+pub(super) use completions::Completions;
+pub(super) use entry::confirm;
+use entry::{Entry, Strike};
+pub use types::{
+    Evidence, Fingerprint, Incarnation, Quarantine, SoundPart, StrikeDelta, StrikePolicy,
+    StrikeStatus,
+};
+
 /// Maximum number of tracked requests; the oldest are evicted first.
 const ENTRIES_MAX: usize = 10_000;
 /// Maximum number of changes queued for peers; the oldest are dropped first.
 const OUTGOING_MAX: usize = 4_096;
-/// Maximum number of strikes in a snapshot, the newest ones: 40 KB on a link between routers.
-const SNAPSHOT_MAX: usize = 1_000;
-/// Number of completed requests that are remembered as proven, in each of two generations.
-const PROVEN_GENERATION_MAX: usize = 4_096;
 /// Number of entries that are evicted together, as each eviction visits all of them.
 const EVICTED_AT_ONCE: usize = 1_000;
 /// Interval between two evictions of expired entries.
 const EVICTION_INTERVAL_MS: u64 = 1_000;
-/// Maximum number of times that a quarantine is doubled.
-const DOUBLINGS_MAX: u32 = 6;
 /// Smallest extension of a quarantine that is passed on. Transfer times make the same quarantine
 /// end at slightly different times on different routers.
 const EXTENSION_MIN_MS: u64 = 2_000;
 
-/// Hash that identifies a request by its content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Computes the hash of method, path and body.
-    ///
-    /// ```
-    /// use jujubeusher::decide::strikes::Fingerprint;
-    /// let of = |body: &str| Fingerprint::of("POST", "/v1/chat/completions", body.as_bytes());
-    /// assert_eq!(of("a"), of("a"));
-    /// assert_ne!(of("a"), of("b"));
-    /// ```
-    pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
-        let seed = xxhash_rust::xxh3::xxh3_64(format!("{method} {path}").as_bytes());
-        Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
-    }
-
-    /// Limits the fingerprint to the requests of one caller, so that no caller can get another's
-    /// requests refused.
-    ///
-    /// ```
-    /// use jujubeusher::decide::strikes::Fingerprint;
-    /// let any = Fingerprint::of("GET", "/a", b"");
-    /// assert_ne!(any.of_caller("team-1"), any.of_caller("team-2"));
-    /// ```
-    pub fn of_caller(self, caller: &str) -> Self {
-        Self(xxhash_rust::xxh3::xxh3_64_with_seed(
-            caller.as_bytes(),
-            self.0,
-        ))
-    }
-}
-
-impl std::fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-/// Limits from the rules of the inventory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StrikePolicy {
-    /// Number of strikes at which a request is quarantined.
-    pub strikes_max: u32,
-    /// The same for a request that servers have completed before.
-    pub proven_strikes_max: u32,
-    /// How long a strike counts, and how long a request is quarantined for the first time.
-    pub quarantine_ms: u64,
-    /// Servers that end within this time of each other, under runs of a proven request that had
-    /// begun before, may have a common cause.
-    pub common_cause_ms: u64,
-    /// Shortest time in which a server that has ended can run again under the same id. A further
-    /// break within it does not count, as the server cannot have ended twice.
-    pub restart_min_ms: u64,
-}
-
-impl StrikePolicy {
-    /// Longest time for which a request is quarantined, after many quarantines.
-    pub fn quarantine_max_ms(&self) -> u64 {
-        self.quarantine_ms << DOUBLINGS_MAX
-    }
-}
-
-/// Whether and how a request may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StrikeStatus {
-    /// Without restriction.
-    Clear,
-    /// In isolation: one copy at a time, on a server that runs no other struck request.
-    Struck,
-    /// Not at all; the request is refused.
-    Quarantined {
-        /// Remaining time of the quarantine.
-        left_ms: u64,
-    },
-}
-
-impl StrikeStatus {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Clear => "clear",
-            Self::Struck => "struck",
-            Self::Quarantined { .. } => "quarantined",
-        }
-    }
-}
-
-/// A change that a router sends to the others.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StrikeDelta {
-    /// Request that the change concerns.
-    pub fingerprint: Fingerprint,
-    /// Server that crashed or completed the request.
-    pub server: ServerId,
-    /// Crashes of this server under the request that the sender knows of; 0 when the server has
-    /// completed the request.
-    pub count: u32,
-    /// Time for which the server had run the request when it crashed; 0 if unknown.
-    pub ran_ms: u64,
-    /// Whether the sender knows that a server completed the request before.
-    pub is_proven: bool,
-    /// Parts of the prompt, if the server crashed before it began to answer.
-    pub parts: Vec<Fingerprint>,
-    /// Hash of the caller's team; 0 without parts.
-    pub caller: u64,
-    /// Time from the change until the sender sent it.
-    pub age_ms: u64,
-}
-
-/// A part of a prompt on which an answer began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SoundPart {
-    /// Hash of the part's id.
-    pub part: Fingerprint,
-    /// Time since the answer in ms.
-    pub age_ms: u64,
-}
-
-/// A quarantine and its remaining time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Quarantine {
-    /// Request that is refused.
-    pub fingerprint: Fingerprint,
-    /// Remaining time.
-    pub left_ms: u64,
-}
-
-/// A crash that counts against a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Evidence {
-    /// Server that crashed.
-    pub server: ServerId,
-    /// Time since the crash.
-    pub age_ms: u64,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Strike {
-    server: ServerId,
-    started_ms: u64,
-    at_ms: u64,
-    /// Whether a server has completed the request since.
-    is_stale: bool,
-    /// Whether the server is known to have ended.
-    is_confirmed: bool,
-}
-
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-struct Entry {
-    strikes: Vec<Strike>,
-    is_proven: bool,
-    quarantined_until_ms: u64,
-    /// Number of quarantines so far. After the first, one more strike is enough for the next.
-    quarantines: u32,
-}
-
-impl Entry {
-    fn is_quarantined(&self, now_ms: u64) -> bool {
-        self.quarantined_until_ms > now_ms
-    }
-
-    /// Number of strikes that count after one at `server`. Strikes from before a completion no
-    /// longer count together with those from other servers, but still with further ones from the
-    /// same server.
-    fn counted_strikes(&self, server: &ServerId, policy: StrikePolicy) -> u32 {
-        let strikes = self.strikes.iter();
-        let strikes = strikes.filter(|strike| !strike.is_stale || strike.server == *server);
-        if !self.is_proven {
-            return strikes.count() as u32;
-        }
-        let mut count = 0;
-        let mut last: Option<&Strike> = None;
-        for strike in strikes {
-            let has_own_cause = |last: &Strike| {
-                strike.started_ms >= last.at_ms
-                    || strike.at_ms >= last.at_ms + policy.common_cause_ms
-            };
-            if last.is_none_or(has_own_cause) {
-                count += 1;
-                last = Some(strike);
-            }
-        }
-        count
-    }
-
-    /// Whether the strikes are enough for a quarantine after this number of earlier ones.
-    fn has_enough_strikes(&self, earlier_quarantines: u32, policy: StrikePolicy) -> bool {
-        let Some(last) = self.strikes.last() else {
-            return false;
-        };
-        let strikes_max = match (earlier_quarantines, self.is_proven) {
-            (1.., _) => 1,
-            (0, true) => policy.proven_strikes_max,
-            (0, false) => policy.strikes_max,
-        };
-        self.counted_strikes(&last.server, policy) >= strikes_max
-    }
-
-    /// Begins a quarantine with a crash at `at_ms`.
-    fn quarantine(&mut self, at_ms: u64, policy: StrikePolicy) {
-        let doublings = self.quarantines.min(DOUBLINGS_MAX);
-        self.quarantined_until_ms = at_ms + (policy.quarantine_ms << doublings);
-        self.quarantines += 1;
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Outgoing {
     delta: StrikeDelta,
     at_ms: u64,
 }
 
-/// Times of the most recent completions, in two generations: when the newer one is full, it replaces
-/// the older one.
-#[derive(Debug, Default)]
-pub(super) struct Completions {
-    newer: IndexMap<Fingerprint, u64>,
-    older: IndexMap<Fingerprint, u64>,
-}
-
-impl Completions {
-    pub(super) fn record(&mut self, fingerprint: Fingerprint, now_ms: u64) {
-        if self.newer.len() >= PROVEN_GENERATION_MAX {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        self.newer.insert(fingerprint, now_ms);
-    }
-
-    /// Time of the last completion, if it is remembered.
-    pub(super) fn last_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
-        let newer = self.newer.get(&fingerprint);
-        newer.or_else(|| self.older.get(&fingerprint)).copied()
-    }
-}
-
-/// What is known of a server some time after it seemed to have crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Incarnation {
-    /// It has been registered throughout, so it had not ended.
-    Running,
-    /// It is no longer registered, or was restarted.
-    Ended,
-    /// The registrations are not up to date, or not old enough.
-    Unknown,
-}
-
-/// Reviews evidence for the crash of a server; returns whether it is kept.
-pub(super) fn confirm<I>(is_confirmed: &mut bool, incarnation: I) -> bool
-where
-    I: FnOnce() -> Incarnation,
-{
-    if !*is_confirmed {
-        match incarnation() {
-            Incarnation::Running => return false,
-            Incarnation::Ended => *is_confirmed = true,
-            Incarnation::Unknown => {}
-        }
-    }
-    true
-}
-
 /// Strikes known to a router, its own and those received from other routers.
 #[derive(Debug, Default)]
 pub struct StrikeTracker {
@@ -377,54 +123,6 @@
         strikes.any(|strike| strike.server == *server)
     }
 
-    /// Strikes that count, and the quarantines that cannot be derived from them, for a router that has
-    /// just been linked.
-    pub fn snapshot(
-        &self,
-        now_ms: u64,
-        policy: StrikePolicy,
-    ) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
-        let entries = self.entries.iter();
-        let strikes = entries.flat_map(|(fingerprint, entry)| {
-            let strikes = entry.strikes.iter().filter(|strike| !strike.is_stale);
-            strikes.map(move |strike| StrikeDelta {
-                fingerprint: *fingerprint,
-                server: strike.server.clone(),
-                count: self.strike_count(*fingerprint, &strike.server),
-                ran_ms: strike.at_ms - strike.started_ms,
-                is_proven: entry.is_proven,
-                parts: Vec::new(),
-                caller: 0,
-                age_ms: now_ms.saturating_sub(strike.at_ms),
-            })
-        });
-        let runs = self.parts.runs().map(|run| StrikeDelta {
-            fingerprint: run.request,
-            server: run.server.clone(),
-            count: self.strike_count(run.request, &run.server).max(1),
-            ran_ms: run.at_ms.saturating_sub(run.started_ms),
-            is_proven: false,
-            parts: run.parts.clone(),
-            caller: run.caller,
-            age_ms: now_ms.saturating_sub(run.at_ms),
-        });
-        let mut strikes: Vec<StrikeDelta> = runs.chain(strikes).collect();
-        strikes.sort_by_key(|strike| strike.age_ms);
-        strikes.truncate(SNAPSHOT_MAX);
-        let mut quarantines = self.quarantines(now_ms);
-        quarantines.retain(|quarantine| !self.is_derivable(quarantine.fingerprint, policy));
-        (strikes, quarantines)
-    }
-
-    /// Whether a router that receives the strikes of a request finds it quarantined.
-    fn is_derivable(&self, fingerprint: Fingerprint, policy: StrikePolicy) -> bool {
-        if self.parts.is_derivable(fingerprint) {
-            return true;
-        }
-        let entry = self.entries.get(&fingerprint);
-        entry.is_some_and(|entry| entry.quarantines == 1 && entry.has_enough_strikes(0, policy))
-    }
-
     /// Returns whether and how a request may run now.
     pub fn status(
         &self,
@@ -509,107 +207,6 @@
         self.status(fingerprint, now_ms, policy)
     }
 
-    /// Adds a run whose parts may be the cause of a crash; returns whether it is new.
-    fn add_run(&mut self, run: CrashedRun, now_ms: u64, policy: StrikePolicy) -> bool {
-        let at_ms = run.at_ms;
-        let entries = &self.entries;
-        let outcome = self.parts.add(run, policy, |fingerprint| {
-            let entry = entries.get(&fingerprint);
-            entry.map_or((0, false), |entry| {
-                (entry.quarantines, entry.is_quarantined(now_ms))
-            })
-        });
-        for fingerprint in &outcome.quarantined {
-            let entry = self.entries.entry(*fingerprint).or_default();
-            entry.quarantine(at_ms, policy);
-        }
-        self.newly_quarantined.extend(outcome.quarantined);
-        self.queue_sound(outcome.proven);
-        outcome.is_new
-    }
-
-    /// Queues sound parts for other routers, as many as the queue has room for.
-    fn queue_sound<S>(&mut self, sound: S)
-    where
-        S: IntoIterator<Item = (Fingerprint, u64)>,
-    {
-        let room = OUTGOING_MAX.saturating_sub(self.outgoing_sound.len());
-        self.outgoing_sound.extend(sound.into_iter().take(room));
-    }
-
-    /// Records that a server went on with an answer on these parts, so that none of them crashes
-    /// every server. Returns whether other routers need to know.
-    pub fn on_answer_begun(&mut self, parts: &[Fingerprint], now_ms: u64) -> bool {
-        let struck = self.parts.record_sound(parts, now_ms);
-        for part in &struck {
-            self.lift_part(*part, now_ms);
-        }
-        self.queue_sound(struck.iter().map(|part| (*part, now_ms)));
-        !struck.is_empty()
-    }
-
-    /// Applies a sound part that another router reports; returns whether it changed anything.
-    pub fn apply_sound(&mut self, sound: SoundPart, now_ms: u64) -> bool {
-        let at_ms = now_ms.saturating_sub(sound.age_ms);
-        let is_changed = self.parts.apply_sound(sound.part, at_ms);
-        if is_changed {
-            self.lift_part(sound.part, at_ms);
-        }
-        is_changed
-    }
-
-    /// Lifts the quarantines of a part that began before an answer on it.
-    fn lift_part(&mut self, part: Fingerprint, answered_ms: u64) {
-        for fingerprint in self.parts.quarantines_of(part) {
-            if self.parts.is_derivable(fingerprint) {
-                // Servers crashed after that answer.
-                continue;
-            }
-            if let Some(entry) = self.entries.get_mut(&fingerprint) {
-                entry.quarantined_until_ms = entry.quarantined_until_ms.min(answered_ms);
-                entry.quarantines = 0;
-            }
-            self.parts.forget_quarantine(fingerprint);
-        }
-    }
-
-    /// Removes and returns the sound parts that were not yet sent to other routers.
-    pub fn drain_sound(&mut self, now_ms: u64) -> Vec<SoundPart> {
-        let sound = self.outgoing_sound.drain(..);
-        sound
-            .map(|(part, at_ms)| SoundPart {
-                part,
-                age_ms: now_ms.saturating_sub(at_ms),
-            })
-            .collect()
-    }
-
-    /// Removes and returns the fingerprints of parts that were quarantined since the last call.
-    pub fn drain_quarantined(&mut self) -> Vec<Fingerprint> {
-        std::mem::take(&mut self.newly_quarantined)
-    }
-
-    /// Fingerprint of the quarantine that refuses the requests of a caller with one of these parts,
-    /// and its remaining time in ms; `None` if they may run.
-    pub fn refused_part(
-        &self,
-        parts: &[Fingerprint],
-        caller: u64,
-        now_ms: u64,
-    ) -> Option<Quarantine> {
-        let callers = [Callers::One(caller), Callers::All];
-        let mut verdicts = parts
-            .iter()
-            .flat_map(|part| callers.map(|callers| part_fingerprint(*part, callers)));
-        verdicts.find_map(|fingerprint| {
-            let entry = self.entries.get(&fingerprint)?;
-            entry.is_quarantined(now_ms).then(|| Quarantine {
-                fingerprint,
-                left_ms: entry.quarantined_until_ms - now_ms,
-            })
-        })
-    }
-
     /// Remembers that a server completed a request, which proves it in case of later strikes.
     pub fn remember_completion(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         self.completions.record(fingerprint, now_ms);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a gateway.
 
-use std::cmp::Reverse;
+mod servers;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
@@ -15,9 +16,9 @@
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::overload::Overload;
 use crate::decide::prompt_homes::{PromptHomes, fetch_source};
-use crate::decide::registry::{Registration, Registry};
+use crate::decide::registry::Registry;
 use crate::decide::retry_window::{FleetRetryLimit, RetryWindow};
-use crate::decide::strikes::{Fingerprint, Incarnation};
+use crate::decide::strikes::Fingerprint;
 use crate::edge::clock::Clock;
 use crate::error::Result;
 use crate::gateway::caller_timeouts::CallerTimeouts;
@@ -220,30 +221,6 @@
         self.routing.read().clone()
     }
 
-    /// Servers of a service that accept requests.
-    pub fn available_servers(&self, service: &ServiceId) -> Vec<Registration> {
-        let now_ms = self.now_ms();
-        let registry = self.registry.lock();
-        registry.usable(service, now_ms).cloned().collect()
-    }
-
-    /// Registration of a server; `None` if it does not accept requests.
-    pub fn registration(&self, server: &ServerId) -> Option<Registration> {
-        self.registry.lock().get(server, self.now_ms()).cloned()
-    }
-
-    /// Other servers of the same availability zone, of any service, those first that were active
-    /// last.
-    pub fn servers_nearby(&self, server: &Registration) -> Vec<Registration> {
-        let registry = self.registry.lock();
-        let nearby = registry.all().filter(|other| {
-            other.zone == server.zone && other.address != server.address && !other.is_leaving
-        });
-        let mut nearby: Vec<Registration> = nearby.cloned().collect();
-        nearby.sort_by_key(|other| Reverse(self.reachability.active_ms(&other.id)));
-        nearby
-    }
-
     /// Records that a server ran a request with these shared prompt parts.
     pub fn record_prompt_server(&self, shared_hash: u64, server: &ServerId) {
         self.homes.lock().record(shared_hash, server, self.now_ms());
@@ -361,12 +338,6 @@
         self.strikes.record_completion(fingerprint, server, now_ms);
     }
 
-    /// Records that another server answers at this server's address.
-    pub fn record_misdirected(&self, server: &ServerId) {
-        log::warn!("event=server_misdirected server={server}");
-        self.registry.lock().mark_misdirected(server);
-    }
-
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ServiceId) {
         let now_ms = self.now_ms();
@@ -477,31 +448,6 @@
             && self.clock.boot_ms().saturating_sub(confirmed_ms) > ROUTES_UNCONFIRMED_MS
     }
 
-    /// Records an update of the servers, or that their source does not answer.
-    pub fn record_servers_source(&self, is_available: bool) {
-        let now_ms = self.now_ms();
-        let mut servers_source = self.servers_source.lock();
-        match is_available {
-            true => servers_source.record_update(now_ms),
-            false => *servers_source = Freshness::default(),
-        }
-    }
-
-    /// What became of a server that seemed to have crashed `age_ms` ago.
-    pub fn incarnation(&self, server: &ServerId, age_ms: u64) -> Incarnation {
-        let now_ms = self.now_ms();
-        if !self.servers_source.lock().is_current(now_ms) || now_ms <= age_ms {
-            return Incarnation::Unknown;
-        }
-        let registry = self.registry.lock();
-        let is_registered = registry.get(server, now_ms).is_some();
-        let known_for_ms = registry.known_for_ms(server, now_ms);
-        match known_for_ms.filter(|_| is_registered) {
-            Some(known_for_ms) if known_for_ms >= age_ms => Incarnation::Running,
-            _ => Incarnation::Ended,
-        }
-    }
-
     /// Whether routes and servers are known.
     pub fn has_tables(&self) -> bool {
         self.routing.read().is_some() && !self.registry.lock().is_empty()
--- /dev/null
+++ b/src/gateway/state/servers.rs
@@ -0,0 +1,66 @@
+//! What the gateway's state knows of backend servers from their registrations.
+
+use std::cmp::Reverse;
+
+use crate::decide::registry::Registration;
+use crate::decide::strikes::Incarnation;
+use crate::gateway::freshness::Freshness;
+use crate::gateway::state::State;
+use crate::ids::{ServerId, ServiceId};
+
+impl State {
+    /// Servers of a service that accept requests.
+    pub fn available_servers(&self, service: &ServiceId) -> Vec<Registration> {
+        let now_ms = self.now_ms();
+        let registry = self.registry.lock();
+        registry.usable(service, now_ms).cloned().collect()
+    }
+
+    /// Registration of a server; `None` if it does not accept requests.
+    pub fn registration(&self, server: &ServerId) -> Option<Registration> {
+        self.registry.lock().get(server, self.now_ms()).cloned()
+    }
+
+    /// Other servers of the same availability zone, of any service, those first that were active
+    /// last.
+    pub fn servers_nearby(&self, server: &Registration) -> Vec<Registration> {
+        let registry = self.registry.lock();
+        let nearby = registry.all().filter(|other| {
+            other.zone == server.zone && other.address != server.address && !other.is_leaving
+        });
+        let mut nearby: Vec<Registration> = nearby.cloned().collect();
+        nearby.sort_by_key(|other| Reverse(self.reachability.active_ms(&other.id)));
+        nearby
+    }
+
+    /// Records that another server answers at this server's address.
+    pub fn record_misdirected(&self, server: &ServerId) {
+        log::warn!("event=server_misdirected server={server}");
+        self.registry.lock().mark_misdirected(server);
+    }
+
+    /// Records an update of the servers, or that their source does not answer.
+    pub fn record_servers_source(&self, is_available: bool) {
+        let now_ms = self.now_ms();
+        let mut servers_source = self.servers_source.lock();
+        match is_available {
+            true => servers_source.record_update(now_ms),
+            false => *servers_source = Freshness::default(),
+        }
+    }
+
+    /// What became of a server that seemed to have crashed `age_ms` ago.
+    pub fn incarnation(&self, server: &ServerId, age_ms: u64) -> Incarnation {
+        let now_ms = self.now_ms();
+        if !self.servers_source.lock().is_current(now_ms) || now_ms <= age_ms {
+            return Incarnation::Unknown;
+        }
+        let registry = self.registry.lock();
+        let is_registered = registry.get(server, now_ms).is_some();
+        let known_for_ms = registry.known_for_ms(server, now_ms);
+        match known_for_ms.filter(|_| is_registered) {
+            Some(known_for_ms) if known_for_ms >= age_ms => Incarnation::Running,
+            _ => Incarnation::Ended,
+        }
+    }
+}
