Look whether a zone can be reached when a connection breaks

Cause: both servers, the only ones of their zone, ended under the two attempts of one request. Their proxies accepted connections for up to 5 ms more, and by the second probe neither was left as a witness, so that no crash counted.

A server that accepts a connection after a break is probed once more as before, but its zone is looked at when the connection breaks.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -94,21 +94,24 @@
             at_ms: broken_ms,
         },
     };
-    if has_crashed(state, server, broken_ms).await {
-        broken.record(state);
-        return;
-    }
-    let (shared, server) = (Arc::clone(state), server.clone());
-    state.runtime.spawn_detached(async move {
-        smol::Timer::after(SECOND_PROBE_DELAY).await;
-        if shared.crash_probes.has_crashed(&server.id) {
-            // It was running when this connection broke, and ended under another run.
-            return;
-        }
-        if has_crashed(&shared, &server, shared.now_ms()).await {
-            broken.record(&shared);
+    match find(state, server, broken_ms, false).await {
+        Finding::Crashed => broken.record(state),
+        Finding::Inconclusive => {}
+        Finding::Running { is_zone_reached } => {
+            let (shared, server) = (Arc::clone(state), server.clone());
+            state.runtime.spawn_detached(async move {
+                smol::Timer::after(SECOND_PROBE_DELAY).await;
+                if shared.crash_probes.has_crashed(&server.id) {
+                    // It was running when this connection broke, and ended under another run.
+                    return;
+                }
+                let now_ms = shared.now_ms();
+                if find(&shared, &server, now_ms, is_zone_reached).await == Finding::Crashed {
+                    broken.record(&shared);
+                }
+            });
         }
-    });
+    }
 }
 
 /// A run whose connection broke.
@@ -136,19 +139,47 @@
     }
 }
 
-/// Whether a server whose connection broke has crashed, as far as known at `as_of_ms` or later.
-async fn has_crashed(state: &State, server: &Registration, as_of_ms: u64) -> bool {
-    if let Some(has_crashed) = state.crash_probes.recent(&server.id, as_of_ms) {
-        return has_crashed;
+/// What a probe of a server whose connection broke has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finding {
+    Crashed,
+    /// It accepts connections.
+    Running {
+        /// Whether its zone could be reached at that moment.
+        is_zone_reached: bool,
+    },
+    Inconclusive,
+}
+
+/// Finds out whether a server has crashed, as of `as_of_ms` or later. `was_zone_reached` tells that
+/// its zone could be reached when the connection broke. With few servers in a zone, all of them may
+/// have crashed by now.
+async fn find(
+    state: &State,
+    server: &Registration,
+    as_of_ms: u64,
+    was_zone_reached: bool,
+) -> Finding {
+    match state.crash_probes.recent(&server.id, as_of_ms) {
+        Some(true) => return Finding::Crashed,
+        Some(false) => return Finding::Inconclusive,
+        None => {}
     }
-    let is_leaving = state.registration(&server.id).is_none();
-    let has_crashed = !is_leaving
-        && probe(state, server.address).await == Probe::Refused
-        && is_zone_reached(state, server).await;
+    if state.registration(&server.id).is_none() {
+        return Finding::Inconclusive;
+    }
+    let probed = probe(state, server.address).await;
+    let is_zone_reached = was_zone_reached || is_zone_reached(state, server).await;
+    let finding = match probed {
+        Probe::Refused if is_zone_reached => Finding::Crashed,
+        Probe::Accepted => Finding::Running { is_zone_reached },
+        Probe::Refused | Probe::Unknown => Finding::Inconclusive,
+    };
+    let has_crashed = finding == Finding::Crashed;
     state
         .crash_probes
         .record(&server.id, has_crashed, state.now_ms());
-    has_crashed
+    finding
 }
 
 /// Whether another server of the availability zone accepts a connection; true if there is none that
