--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -15,7 +15,7 @@
 use crate::decide::part_strikes::CrashedRun;
 use crate::decide::rendezvous::score;
 use crate::decide::strikes::{
-    Evidence, Fingerprint, Incarnation, Quarantine, SoundPart, StrikeDelta, StrikePolicy,
+    Evidence, Fingerprint, Incarnation, Quarantine, Snapshot, SoundPart, StrikeDelta, StrikePolicy,
     StrikeStatus, StrikeTracker,
 };
 use crate::http::client::{CallError, Client};
@@ -320,15 +320,11 @@
         self.is_active() && self.0.tracker.lock().has_crashed(server)
     }
 
-    /// Strikes that count and quarantines in force, for a router that has just been linked.
-    pub fn snapshot(
-        &self,
-        now_ms: u64,
-        policy: StrikePolicy,
-    ) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+    /// What a router that has just been linked needs to know.
+    pub fn snapshot(&self, now_ms: u64, policy: StrikePolicy) -> Snapshot {
         match self.is_active() {
             true => self.0.tracker.lock().snapshot(now_ms, policy),
-            false => (Vec::new(), Vec::new()),
+            false => Snapshot::default(),
         }
     }
 
--- a/src/decide/part_strikes.rs
+++ b/src/decide/part_strikes.rs
@@ -350,6 +350,14 @@
         .collect()
     }
 
+    /// Parts of the runs that are known to be sound, with the time of the last answer.
+    pub fn sound_parts(&self) -> impl Iterator<Item = (Fingerprint, u64)> {
+        let parts = self.runs().flat_map(|run| &run.parts);
+        let parts: IndexSet<Fingerprint> = parts.copied().collect();
+        let sound = parts.into_iter();
+        sound.filter_map(|part| Some((part, self.sound.last_ms(part)?)))
+    }
+
     /// All runs, oldest first.
     pub fn runs(&self) -> impl Iterator<Item = &CrashedRun> {
         self.runs.iter().map(|run| &run.crashed)
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -25,7 +25,7 @@
 pub(super) use entry::confirm;
 use entry::{Entry, Strike};
 pub use types::{
-    Evidence, Fingerprint, Incarnation, Quarantine, SoundPart, StrikeDelta, StrikePolicy,
+    Evidence, Fingerprint, Incarnation, Quarantine, Snapshot, SoundPart, StrikeDelta, StrikePolicy,
     StrikeStatus,
 };
 
--- a/src/decide/strikes/snapshot.rs
+++ b/src/decide/strikes/snapshot.rs
@@ -1,19 +1,14 @@
 //! What a tracker tells a router that has just been linked.
 
 use crate::decide::strikes::StrikeTracker;
-use crate::decide::strikes::types::{Fingerprint, Quarantine, StrikeDelta, StrikePolicy};
+use crate::decide::strikes::types::{Fingerprint, Snapshot, SoundPart, StrikeDelta, StrikePolicy};
 
 /// Maximum number of strikes in a snapshot, the newest ones: 40 KB on a link between routers.
 const SNAPSHOT_MAX: usize = 1_000;
 
 impl StrikeTracker {
-    /// Strikes that count, and the quarantines that cannot be derived from them, for a router that has
-    /// just been linked.
-    pub fn snapshot(
-        &self,
-        now_ms: u64,
-        policy: StrikePolicy,
-    ) -> (Vec<StrikeDelta>, Vec<Quarantine>) {
+    /// What a router that has just been linked needs to know.
+    pub fn snapshot(&self, now_ms: u64, policy: StrikePolicy) -> Snapshot {
         let entries = self.entries.iter();
         let strikes = entries.flat_map(|(fingerprint, entry)| {
             let strikes = entry.strikes.iter().filter(|strike| !strike.is_stale);
@@ -41,9 +36,17 @@
         let mut strikes: Vec<StrikeDelta> = runs.chain(strikes).collect();
         strikes.sort_by_key(|strike| strike.age_ms);
         strikes.truncate(SNAPSHOT_MAX);
+        let sound = self.parts.sound_parts().map(|(part, at_ms)| SoundPart {
+            part,
+            age_ms: now_ms.saturating_sub(at_ms),
+        });
         let mut quarantines = self.quarantines(now_ms);
         quarantines.retain(|quarantine| !self.is_derivable(quarantine.fingerprint, policy));
-        (strikes, quarantines)
+        Snapshot {
+            strikes,
+            sound: sound.collect(),
+            quarantines,
+        }
     }
 
     /// Whether a router that receives the strikes of a request finds it quarantined.
--- a/src/decide/strikes/tests.rs
+++ b/src/decide/strikes/tests.rs
@@ -271,7 +271,11 @@
         here.on_server_crash(BAD, &server(&format!("s{number}")), 5, at_ms, PLATFORM);
     }
     here.on_server_crash(GOOD, &server("s2"), 5, 300, PLATFORM);
-    let (strikes, quarantines) = here.snapshot(400, PLATFORM);
+    let Snapshot {
+        strikes,
+        quarantines,
+        ..
+    } = here.snapshot(400, PLATFORM);
     for strike in &strikes {
         assert!(there.apply_remote(strike, 20_000, PLATFORM));
     }
@@ -372,7 +376,11 @@
         "{status:?}"
     );
     other.remember_completion(GOOD, 6_000);
-    let (strikes, quarantines) = cut_off.snapshot(6_100, PLATFORM);
+    let Snapshot {
+        strikes,
+        quarantines,
+        ..
+    } = cut_off.snapshot(6_100, PLATFORM);
     assert_eq!(quarantines, [], "strikes tell the other router enough");
     for strike in &strikes {
         other.apply_remote(strike, 6_100, PLATFORM);
@@ -383,3 +391,33 @@
     }
     assert_eq!(cut_off.status(GOOD, 6_200, PLATFORM), StrikeStatus::Clear);
 }
+
+/// Guards against a router that has just started and refuses a popular part, as it does not know of
+/// the answers on it: seen in the soak, seed 11 with two servers.
+#[test]
+fn snapshot_tells_which_parts_are_sound() {
+    let part = Fingerprint(0x5c1e);
+    let mut here = StrikeTracker::lifting_on_completion();
+    here.on_answer_begun(&[part], 500);
+    for number in 0..4 {
+        let run = CrashedRun {
+            parts: vec![part],
+            request: Fingerprint(100 + number),
+            caller: 1,
+            server: server(&format!("s{number}")),
+            started_ms: 900,
+            at_ms: 1_000 + number * 300,
+        };
+        here.on_run_crash(run, PLATFORM);
+    }
+    assert_eq!(here.refused_part(&[part], 1, 2_000), None);
+    let snapshot = here.snapshot(2_000, PLATFORM);
+    let mut there = StrikeTracker::lifting_on_completion();
+    for sound in snapshot.sound {
+        there.apply_sound(sound, 50_000);
+    }
+    for strike in &snapshot.strikes {
+        there.apply_remote(strike, 50_000, PLATFORM);
+    }
+    assert_eq!(there.refused_part(&[part], 1, 50_000), None);
+}
--- a/src/decide/strikes/types.rs
+++ b/src/decide/strikes/types.rs
@@ -137,6 +137,17 @@
     pub left_ms: u64,
 }
 
+/// What a router tells another one that has just been linked.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Strikes that count.
+    pub strikes: Vec<StrikeDelta>,
+    /// Which of their prompt parts are known to be sound. To be applied before the strikes.
+    pub sound: Vec<SoundPart>,
+    /// Quarantines that cannot be derived from the strikes.
+    pub quarantines: Vec<Quarantine>,
+}
+
 /// A crash that counts against a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Evidence {
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::decide::strikes::{Fingerprint, Quarantine, SoundPart, StrikeDelta};
+use crate::decide::strikes::{Fingerprint, Quarantine, Snapshot, SoundPart, StrikeDelta};
 use crate::gateway::protocol::PROMPT_PARTS_MAX;
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::relay::publish::send_in_time;
@@ -39,10 +39,14 @@
     writer: &mut FrameWriter,
 ) -> Result<(), LinkError> {
     let as_of_ms = state.now_ms();
-    let (strikes, quarantines) = state.strikes.snapshot(as_of_ms, POLICY);
+    let Snapshot {
+        strikes,
+        sound,
+        quarantines,
+    } = state.strikes.snapshot(as_of_ms, POLICY);
     let changes = StrikeChanges {
         strikes,
-        sound: Vec::new(),
+        sound,
         quarantines,
         as_of_ms,
     };
@@ -59,14 +63,6 @@
         table: NO_TABLE,
         ..Message::default()
     };
-    for batch in changes.strikes.chunks(ENTRIES_PER_MESSAGE_MAX) {
-        let strikes = batch.iter().map(|strike| encode(strike, queued_ms));
-        let message = Message {
-            strikes: strikes.collect(),
-            ..empty.clone()
-        };
-        send_in_time(writer, &message).await?;
-    }
     for batch in changes.sound.chunks(ENTRIES_PER_MESSAGE_MAX) {
         let sound_parts = batch.iter().map(|sound| wire::SoundPart {
             part: sound.part.0,
@@ -78,6 +74,14 @@
         };
         send_in_time(writer, &message).await?;
     }
+    for batch in changes.strikes.chunks(ENTRIES_PER_MESSAGE_MAX) {
+        let strikes = batch.iter().map(|strike| encode(strike, queued_ms));
+        let message = Message {
+            strikes: strikes.collect(),
+            ..empty.clone()
+        };
+        send_in_time(writer, &message).await?;
+    }
     for batch in changes.quarantines.chunks(ENTRIES_PER_MESSAGE_MAX) {
         let quarantines = batch.iter().map(|quarantine| wire::Quarantine {
             fingerprint: quarantine.fingerprint.0,
@@ -139,8 +143,8 @@
     });
     let quarantines: Vec<Quarantine> = quarantines.collect();
     let changes = StrikeChanges {
-        strikes: state.strikes.apply_remote(&strikes, now_ms, POLICY),
         sound: state.strikes.apply_sound(&sound, now_ms),
+        strikes: state.strikes.apply_remote(&strikes, now_ms, POLICY),
         quarantines: state.strikes.apply_quarantines(&quarantines, now_ms),
         as_of_ms: now_ms,
     };
