--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -106,7 +106,7 @@
         self.handler.source_available();
         // Positions of a source never decrease, even if it loses its history.
         if state.position.is_some_and(|known| rows.position < known) {
-            log::debug!("event=rows_outdated source={} origin={origin:?}", self.name);
+            self.log_outdated(&state, &rows, origin);
             return;
         }
         let published = self.handler.replace(&rows.rows);
@@ -123,7 +123,7 @@
         state.is_unavailable = false;
         self.handler.source_available();
         if state.position.is_none_or(|known| rows.position < known) {
-            log::debug!("event=rows_outdated source={} origin={origin:?}", self.name);
+            self.log_outdated(&state, &rows, origin);
             return;
         }
         let mut published = Vec::new();
@@ -137,6 +137,16 @@
         state.publish_changes(published, rows.position);
     }
 
+    fn log_outdated(&self, state: &State, rows: &Rows, origin: Origin) {
+        log::info!(
+            "event=rows_outdated source={} origin={origin:?} position={} known={:?} rows={}",
+            self.name,
+            rows.position.0,
+            state.position.map(|known| known.0),
+            rows.rows.len(),
+        );
+    }
+
     /// Records that the source does not answer this router, or the one that relays it.
     pub fn mark_unavailable(&self) {
         let mut state = self.state.lock();
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -26,6 +26,10 @@
         let mut routing = self.state.routing.write();
         let current = routing.as_ref().map(|current| current.version);
         if current.is_some_and(|current| current >= table.version) {
+            log::info!(
+                "event=routes_outdated version={} in_force={current:?}",
+                table.version
+            );
             return;
         }
         log::info!(
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -156,8 +156,9 @@
             Ok(rows) => {
                 if failures > 0 {
                     log::info!(
-                        "event=source_back source={} failures={failures}",
-                        mirror.name()
+                        "event=source_back source={} failures={failures} position={}",
+                        mirror.name(),
+                        rows.position.0,
                     );
                 }
                 failures = 0;
@@ -169,7 +170,11 @@
                 smol::Timer::after(timing.pause).await;
             }
             Err(SourceError::HistoryLost) => {
-                log::info!("event=history_lost source={}", mirror.name());
+                log::info!(
+                    "event=history_lost source={} position={:?}",
+                    mirror.name(),
+                    position.map(|position| position.0),
+                );
                 needs_snapshot = true;
             }
             Err(error) => {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap};
 use hyper::{Method, Request};
 use serde::Serialize;
 use smol_hyper::rt::FuturesIo;
@@ -33,6 +33,8 @@
 pub struct ClientResponse {
     /// HTTP status code.
     pub status: u16,
+    /// Headers as received.
+    pub headers: HeaderMap,
     /// Body as received.
     pub body: Bytes,
 }
@@ -94,14 +96,13 @@
             .map_err(|error| CallError::NotSent(error.to_string()))?;
         let exchange = async {
             let response = sender.send_request(request).await.map_err(response_lost)?;
-            let status = response.status().as_u16();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(response_lost)?
-                .to_bytes();
-            Ok(ClientResponse { status, body })
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.map_err(response_lost)?.to_bytes();
+            Ok(ClientResponse {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                body,
+            })
         };
         let drive = async {
             // The connection ends before the exchange only if it fails; the exchange then returns
