--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,5 +1,5 @@
 //! Stand-in for the platform's store: versioned rows, a change feed that supports long polling,
-//! and faults.
+//! faults, and the return from an older copy.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -11,6 +11,7 @@
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -37,6 +38,8 @@
 const READ_ONLY_TABLES: [&str; 2] = ["op", "servers"];
 /// Rows in one page of a read; a small number, so that tests cover paging.
 const ROWS_PER_PAGE: usize = 3;
+/// Header of each response with the number of the store's era.
+const ERA_HEADER: &str = "store-era";
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 #[derive(Debug, Clone)]
@@ -47,13 +50,25 @@
     content: Option<Vec<u8>>,
 }
 
-#[derive(Debug)]
-struct State {
+/// Rows with their versions, and the changes that led to them.
+#[derive(Debug, Clone, Default)]
+struct Content {
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     history: Vec<Change>,
     version: u64,
     /// Changes up to this version are no longer in the history.
     compacted_version: u64,
+}
+
+/// Content of a store at one moment, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(Content);
+
+#[derive(Debug)]
+struct State {
+    content: Content,
+    /// Rises by one with each return from a copy.
+    era: u64,
     mode: StoreMode,
     calls: u64,
     page_reads: u64,
@@ -72,10 +87,8 @@
     /// Starts an empty store.
     pub fn bind(address: SocketAddr) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State {
-            rows: BTreeMap::new(),
-            history: Vec::new(),
-            version: 0,
-            compacted_version: 0,
+            content: Content::default(),
+            era: 1,
             mode: StoreMode::Serving,
             calls: 0,
             page_reads: 0,
@@ -101,12 +114,13 @@
 
     /// Writes a row with arbitrary content.
     pub fn put_bytes(&self, table: &str, key: &str, content: &[u8]) {
-        self.state.lock().write(table, key, Some(content.to_vec()));
+        let mut state = self.state.lock();
+        state.content.write(table, key, Some(content.to_vec()));
     }
 
     /// Removes a row and records the removal in the history.
     pub fn remove(&self, table: &str, key: &str) {
-        self.state.lock().write(table, key, None);
+        self.state.lock().content.write(table, key, None);
     }
 
     /// Sets how the store responds from now on, also to calls that are waiting for changes.
@@ -116,12 +130,25 @@
 
     /// Drops the whole history, so that a watcher behind the newest version gets status 410.
     pub fn compact_history(&self) {
-        let mut state = self.state.lock();
-        state.history.clear();
-        state.compacted_version = state.version;
+        let content = &mut self.state.lock().content;
+        content.history.clear();
+        content.compacted_version = content.version;
         // A watcher at the newest version has missed nothing and is still served; one that is
         // further behind is rejected.
-        state.version += 1;
+        content.version += 1;
+    }
+
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().content.clone())
+    }
+
+    /// Returns to the content of a copy: all that was written since is lost, its versions are given
+    /// out again, and a new era begins.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock();
+        state.content = copy.0.clone();
+        state.era += 1;
     }
 
     /// Number of calls since the start.
@@ -137,7 +164,7 @@
     /// Keys of a table's rows.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.lock();
-        let rows = state.rows.keys().filter(|(name, _)| name == table);
+        let rows = state.content.rows.keys().filter(|(name, _)| name == table);
         rows.map(|(_, key)| key.clone()).collect()
     }
 
@@ -147,7 +174,7 @@
     }
 }
 
-impl State {
+impl Content {
     fn write(&mut self, table: &str, key: &str, content: Option<Vec<u8>>) {
         self.version += 1;
         let id = (table.to_owned(), key.to_owned());
@@ -163,6 +190,36 @@
         });
     }
 
+    fn page(&self, table: &str, from: &str) -> Value {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|((t, key), _)| t == table && key.as_str() >= from);
+        let mut rows: Vec<Value> = rows
+            .map(|((_, key), (content, version))| row(table, key, Some(content), *version))
+            .collect();
+        let is_truncated = rows.len() > ROWS_PER_PAGE;
+        rows.truncate(ROWS_PER_PAGE);
+        json!({"Rows": rows, "Truncated": is_truncated, "Ver": self.version})
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let changes = self.history.iter();
+        let changes = changes.filter(|change| change.table == table && change.version > after);
+        changes
+            .map(|change| {
+                row(
+                    table,
+                    &change.key,
+                    change.content.as_deref(),
+                    change.version,
+                )
+            })
+            .collect()
+    }
+}
+
+impl State {
     /// Applies a transaction without conditions on rows of the empty partition.
     fn apply(&mut self, transaction: &Value) -> Response<Body> {
         let rows = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
@@ -183,45 +240,22 @@
             changes.push((table, key, content));
         }
         for (table, key, content) in changes {
-            self.write(&table, &key, content);
+            self.content.write(&table, &key, content);
             self.rows_written += 1;
         }
-        json_response(
-            StatusCode::OK,
-            &json!({"Ver": self.version, "NowMs": self.now_ms()}),
-        )
+        self.respond(StatusCode::OK, json!({"Ver": self.content.version}))
     }
 
-    fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-
-    fn page(&self, table: &str, from: &str) -> Value {
-        let rows = self
-            .rows
-            .iter()
-            .filter(|((t, key), _)| t == table && key.as_str() >= from);
-        let mut rows: Vec<Value> = rows
-            .map(|((_, key), (content, version))| row(table, key, Some(content), *version))
-            .collect();
-        let is_truncated = rows.len() > ROWS_PER_PAGE;
-        rows.truncate(ROWS_PER_PAGE);
-        json!({"Rows": rows, "Truncated": is_truncated, "Ver": self.version, "NowMs": self.now_ms()})
+    /// Builds a response in the store's current era.
+    fn respond(&self, status: StatusCode, mut body: Value) -> Response<Body> {
+        body["NowMs"] = self.now_ms().into();
+        let mut response = json_response(status, &body);
+        set_era(&mut response, self.era);
+        response
     }
 
-    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
-        let changes = self.history.iter();
-        let changes = changes.filter(|change| change.table == table && change.version > after);
-        changes
-            .map(|change| {
-                row(
-                    table,
-                    &change.key,
-                    change.content.as_deref(),
-                    change.version,
-                )
-            })
-            .collect()
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
     }
 }
 
@@ -236,6 +270,19 @@
 }
 
 async fn handle_request(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
+    let mut response = respond(Arc::clone(&state), request).await;
+    if !response.headers().contains_key(ERA_HEADER) {
+        set_era(&mut response, state.lock().era);
+    }
+    response
+}
+
+fn set_era(response: &mut Response<Body>, era: u64) {
+    let headers = response.headers_mut();
+    headers.insert(ERA_HEADER, HeaderValue::from(era));
+}
+
+async fn respond(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Response<Body> {
     let mode = {
         let mut state = state.lock();
         state.calls += 1;
@@ -254,7 +301,7 @@
             let from = query_param(&request, "From").unwrap_or_default();
             let mut state = state.lock();
             state.page_reads += 1;
-            json_response(StatusCode::OK, &state.page(&table, &from))
+            state.respond(StatusCode::OK, state.content.page(&table, &from))
         }
         "/jujubeusher/rows-tx" => {
             let Ok(body) = request.into_body().collect().await else {
@@ -278,17 +325,19 @@
     loop {
         let result = {
             let state = state.lock();
-            if after < state.compacted_version {
-                Some((StatusCode::GONE, json!({})))
+            let content = &state.content;
+            if after < content.compacted_version || after > content.version {
+                Some(state.respond(StatusCode::GONE, json!({})))
             } else {
-                let rows = state.changes(table, after);
+                let rows = content.changes(table, after);
                 let is_over = Instant::now() >= end;
-                let body = json!({"Rows": rows, "Ver": state.version, "NowMs": 0});
-                (is_over || !rows.is_empty()).then_some((StatusCode::OK, body))
+                let is_due = is_over || !rows.is_empty();
+                let body = json!({"Rows": rows, "Ver": content.version});
+                is_due.then(|| state.respond(StatusCode::OK, body))
             }
         };
-        if let Some((status, body)) = result {
-            return json_response(status, &body);
+        if let Some(response) = result {
+            return response;
         }
         Timer::after(WATCH_POLL_INTERVAL).await;
         // A change of mode also affects calls that are already waiting.
