Move rows and sources below the mirror and the watch loop

mirror and watch used each other. Rows, the source trait and the handler trait move to gateway::table, and the position to decide::table_position, where the decisions on it will be. No behaviour changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,5 +28,6 @@
 pub mod retry;
 pub mod retry_window;
 pub mod strikes;
+pub mod table_position;
 pub mod trace;
 pub mod version;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,7 +12,8 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
-use crate::gateway::watch::{Position, Propagation, Row, Rows, TableHandler};
+use crate::decide::table_position::Position;
+use crate::gateway::table::{Propagation, Row, Rows, TableHandler};
 
 /// Capacity of a subscriber's queue. A subscriber that falls further behind is disconnected and
 /// has to subscribe again.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod state;
 pub mod stream;
 pub mod strike_feed;
+pub mod table;
 pub mod table_handlers;
 pub mod watch;
 
@@ -41,8 +42,9 @@
 use crate::gateway::quarantine::QuarantineStore;
 use crate::gateway::relay::Mirrors;
 use crate::gateway::state::{GatewaySettings, State};
+use crate::gateway::table::Source;
 use crate::gateway::table_handlers::{Decode, RoutingHandler, ServerHandler};
-use crate::gateway::watch::{PollTiming, Source, watch_table};
+use crate::gateway::watch::{PollTiming, watch_table};
 use crate::http::limits::ServerLimits;
 use crate::http::pool::Pool;
 use crate::http::server::Server;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -13,7 +13,7 @@
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
 use crate::gateway::strike_feed::StrikeChanges;
-use crate::gateway::watch::{SourceError, SourceFuture};
+use crate::gateway::table::{SourceError, SourceFuture};
 use crate::ids::ServerId;
 
 /// When requests are quarantined. The platform allows no more than three retries after a request
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -10,13 +10,13 @@
 use prost::Message as _;
 
 use crate::decide::fleet_counts::Counts;
+use crate::decide::table_position::Position;
 use crate::gateway::mirror::Update;
 use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
 use crate::gateway::relay::strikes::{send_changes, send_snapshot};
 use crate::gateway::relay::wire::{self, Introduction, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
 use crate::gateway::strike_feed::{FeedLink, StrikeChanges};
-use crate::gateway::watch::Position;
 use crate::peer::frame::{FrameWriter, LinkError};
 use crate::runtime::with_timeout;
 
--- a/src/gateway/relay/row_codec.rs
+++ b/src/gateway/relay/row_codec.rs
@@ -19,7 +19,7 @@
 use prost::Message as _;
 
 use crate::gateway::relay::wire;
-use crate::gateway::watch::{Row, Rows};
+use crate::gateway::table::{Row, Rows};
 use crate::peer::frame::LinkError;
 
 /// Minimum length of a deflated content; for shorter ones the savings do not pay for the work.
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -7,12 +7,13 @@
 use rand::seq::SliceRandom;
 
 use crate::decide::fleet_counts::Scope;
+use crate::decide::table_position::Position;
 use crate::gateway::mirror::Origin;
 use crate::gateway::relay::counts::{CountLink, report_counts};
 use crate::gateway::relay::row_codec::RowDecoder;
 use crate::gateway::relay::wire::{Admission, Message};
 use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE};
-use crate::gateway::watch::{Position, Row, Rows};
+use crate::gateway::table::{Row, Rows};
 use crate::peer::frame::{FrameReader, LinkError};
 
 /// Maximum number of routers that are asked below one seed, which bounds the time of a search.
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -7,7 +7,7 @@
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::{Change, Registration};
 use crate::gateway::state::State;
-use crate::gateway::watch::{Propagation, Row, TableHandler};
+use crate::gateway::table::{Propagation, Row, TableHandler};
 use crate::ids::ServerId;
 
 /// Decodes the content of a row; the error says why the row cannot be used.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,90 +1,13 @@
-//! Watchable tables of the platform, and the loop that watches one.
+//! The loop that watches a table of the platform.
 
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::RngExt;
 
 use crate::gateway::mirror::{Mirror, Origin};
-
-/// A pending response of a source.
-pub type SourceFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
-
-/// A position in the change history of a source; later changes have higher positions.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Position(pub u64);
-
-/// Why a source could not be read.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum SourceError {
-    /// The source no longer has the history from the requested position, so a full snapshot must be
-    /// read.
-    #[error("the requested history is no longer available; read a full snapshot")]
-    HistoryLost,
-    /// The source does not answer at present; the text gives the cause.
-    #[error("{0}; the read will be retried")]
-    Unavailable(String),
-}
-
-/// One row as the source stores it, or the removal of one.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    /// Key of the row, unique within its table.
-    pub key: String,
-    /// Undecoded content; `None` for a removed row.
-    pub content: Option<Bytes>,
-}
-
-/// Rows read from a source, and the position after them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Rows {
-    /// All rows for a snapshot, else the changed ones.
-    pub rows: Vec<Row>,
-    /// Position from which the next changes are requested.
-    pub position: Position,
-}
-
-/// A table of the platform that can be watched.
-pub trait Source: Send + Sync + 'static {
-    /// Reads a consistent snapshot of all rows.
-    fn read(&self) -> SourceFuture<'_, Result<Rows, SourceError>>;
-
-    /// Reads the rows that changed after `position`; waits up to `wait` for the first of them.
-    fn changes(
-        &self,
-        position: Position,
-        wait: Duration,
-    ) -> SourceFuture<'_, Result<Rows, SourceError>>;
-}
-
-/// Whether a changed row is published to the subscribers of a mirror.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Propagation {
-    /// Other routers need the change.
-    Publish,
-    /// Nothing changed that other routers need, for example only a heartbeat's count.
-    Skip,
-}
-
-/// Applies the content and the availability of a table to the router's state.
-pub trait TableHandler: Send + Sync + 'static {
-    /// Replaces the whole content by a snapshot; returns the keys of the rows whose change other
-    /// routers need.
-    fn replace(&self, rows: &[Row]) -> Vec<String>;
-
-    /// Applies one changed row.
-    fn apply(&self, row: &Row) -> Propagation;
-
-    /// Called when the source does not answer.
-    fn source_unavailable(&self);
-
-    /// Called when the source has answered.
-    fn source_available(&self);
-}
+use crate::gateway::table::{Source, SourceError};
 
 /// How often a source is polled.
 #[derive(Debug, Clone)]
