Compare versions of a table only within one era of its source

Cause: a position was one number that was taken to never decrease.

A position is now the source's era and the version in it. A response to a request for changes of an earlier era never applies. At a new era subscribers get the whole content, as they may be ahead of the router that relays it. A router does not take another one as its relay while that is in an earlier era or, as routers of older versions, states none.

Both listed tests failed before and pass now.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,7 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
-use crate::decide::table_position::Position;
+use crate::decide::table_position::{Extent, Position, Verdict, check_update};
 use crate::gateway::table::{Propagation, Row, Rows, TableHandler};
 
 /// Capacity of a subscriber's queue. A subscriber that falls further behind is disconnected and
@@ -100,32 +100,48 @@
     }
 
     /// Replaces the content by a snapshot, unless the copy is newer. Subscribers that have the
-    /// previous content receive the differences that they need.
+    /// previous content receive the differences that they need, or the whole content if the source
+    /// has been restored.
     pub fn replace(&self, rows: Rows, origin: Origin) {
         let mut state = self.state.lock();
         state.is_unavailable = false;
         self.handler.source_available();
-        // Positions of a source never decrease, even if it loses its history.
-        if state.position.is_some_and(|known| rows.position < known) {
-            self.log_outdated(&state, &rows, origin);
-            return;
-        }
-        let published = self.handler.replace(&rows.rows);
-        match state.position {
-            None => state.set_first(rows),
-            Some(_) => state.set_next(rows, &published),
+        let verdict = check_update(state.position, rows.position, Extent::Snapshot);
+        match verdict {
+            Verdict::Ignore | Verdict::ReadSnapshot => self.log_ignored(&state, &rows, origin),
+            Verdict::Restore => {
+                log::warn!(
+                    "event=source_restored source={} origin={origin:?} position={} known={} \
+                     rows={} known_rows={}",
+                    self.name,
+                    rows.position,
+                    known_text(state.position),
+                    rows.rows.len(),
+                    state.rows.len(),
+                );
+                self.handler.replace(&rows.rows);
+                state.restart(rows);
+            }
+            Verdict::Apply => {
+                let published = self.handler.replace(&rows.rows);
+                match state.position {
+                    None => state.restart(rows),
+                    Some(_) => state.set_next(rows, &published),
+                }
+            }
         }
     }
 
-    /// Applies changed rows, unless the copy is newer or has no snapshot yet; publishes those that
-    /// the handler marks for it.
-    pub fn apply(&self, rows: Rows, origin: Origin) {
+    /// Applies changed rows, if the copy is at a position from which they lead on, and publishes
+    /// those that the handler marks for it. Returns whether a snapshot has to be read instead.
+    pub fn apply(&self, rows: Rows, extent: Extent, origin: Origin) -> Verdict {
         let mut state = self.state.lock();
         state.is_unavailable = false;
         self.handler.source_available();
-        if state.position.is_none_or(|known| rows.position < known) {
-            self.log_outdated(&state, &rows, origin);
-            return;
+        let verdict = check_update(state.position, rows.position, extent);
+        if verdict != Verdict::Apply {
+            self.log_ignored(&state, &rows, origin);
+            return verdict;
         }
         let mut published = Vec::new();
         for row in rows.rows {
@@ -136,14 +152,15 @@
             }
         }
         state.publish_changes(published, rows.position);
+        verdict
     }
 
-    fn log_outdated(&self, state: &State, rows: &Rows, origin: Origin) {
+    fn log_ignored(&self, state: &State, rows: &Rows, origin: Origin) {
         log::info!(
-            "event=rows_outdated source={} origin={origin:?} position={} known={:?} rows={}",
+            "event=rows_ignored source={} origin={origin:?} position={} known={} rows={}",
             self.name,
-            rows.position.0,
-            state.position.map(|known| known.0),
+            rows.position,
+            known_text(state.position),
             rows.rows.len(),
         );
     }
@@ -164,7 +181,9 @@
         let (sender, receiver) = async_channel::bounded(SUBSCRIBER_QUEUE_MAX);
         let mut state = self.state.lock();
         if let Some(position) = state.position {
-            let first = match known.filter(|known| *known >= state.history_start) {
+            let is_in_history =
+                |known: &Position| known.era == position.era && *known >= state.history_start;
+            let first = match known.filter(is_in_history) {
                 Some(known) => Update::Changed(state.changes_after(known, position)),
                 None => Update::Snapshot(state.snapshot(position)),
             };
@@ -179,7 +198,10 @@
 }
 
 impl State {
-    fn set_first(&mut self, rows: Rows) {
+    /// Sets the content without the history that led to it.
+    fn restart(&mut self, rows: Rows) {
+        self.rows.clear();
+        self.removed.clear();
         for row in &rows.rows {
             self.store(row, rows.position, true);
         }
@@ -264,6 +286,10 @@
     }
 }
 
+fn known_text(position: Option<Position>) -> String {
+    position.map_or_else(|| "none".to_owned(), |position| position.to_string())
+}
+
 fn current_row((key, row): (&String, &StoredRow)) -> Row {
     Row {
         key: key.clone(),
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::decide::table_position::Era;
 
 /// Records its calls; content that starts with a dot is not published.
 #[derive(Default)]
@@ -30,6 +31,13 @@
     fn source_available(&self) {}
 }
 
+fn at(version: u64) -> Position {
+    Position {
+        era: Era(Some(1)),
+        version,
+    }
+}
+
 fn snapshot(position: u64, pairs: &[(&str, Option<&str>)]) -> Update {
     Update::Snapshot(Arc::new(rows(position, pairs)))
 }
@@ -45,7 +53,7 @@
     };
     Rows {
         rows: pairs.iter().map(row).collect(),
-        position: Position(position),
+        position: at(position),
     }
 }
 
@@ -61,7 +69,7 @@
         rows(5, &[("a", Some("1")), ("b", Some("2"))]),
         Origin::Source,
     );
-    mirror.apply(rows(6, &[("b", None)]), Origin::Source);
+    mirror.apply(rows(6, &[("b", None)]), Extent::NextChanges, Origin::Source);
     let updates = mirror.subscribe(None);
     assert_eq!(updates.try_recv(), Ok(snapshot(6, &[("a", Some("1"))])));
 }
@@ -76,6 +84,7 @@
     updates.try_recv().unwrap();
     mirror.apply(
         rows(2, &[("a", Some(".1")), ("b", Some("2"))]),
+        Extent::NextChanges,
         Origin::Source,
     );
     assert_eq!(updates.try_recv(), Ok(changed(2, &[("b", Some("2"))])));
@@ -91,15 +100,19 @@
     let (mirror, calls) = open();
     mirror.replace(rows(7, &[("a", Some("1"))]), Origin::Source);
     mirror.replace(rows(6, &[]), Origin::Relay);
-    mirror.apply(rows(6, &[("a", None)]), Origin::Relay);
+    mirror.apply(rows(6, &[("a", None)]), Extent::NextChanges, Origin::Relay);
     assert_eq!(*calls.0.lock(), ["replace 1"]);
-    assert_eq!(mirror.position(), Some(Position(7)));
+    assert_eq!(mirror.position(), Some(at(7)));
 }
 
 #[test]
 fn apply_before_the_first_snapshot_changes_nothing() {
     let (mirror, calls) = open();
-    mirror.apply(rows(3, &[("a", Some("1"))]), Origin::Relay);
+    mirror.apply(
+        rows(3, &[("a", Some("1"))]),
+        Extent::NextChanges,
+        Origin::Relay,
+    );
     assert_eq!(mirror.position(), None);
     assert!(calls.0.lock().is_empty());
 }
@@ -110,7 +123,11 @@
     mirror.replace(rows(1, &[]), Origin::Source);
     let updates = mirror.subscribe(None);
     for position in 2..2 + 2 * SUBSCRIBER_QUEUE_MAX as u64 {
-        mirror.apply(rows(position, &[("a", Some("1"))]), Origin::Source);
+        mirror.apply(
+            rows(position, &[("a", Some("1"))]),
+            Extent::NextChanges,
+            Origin::Source,
+        );
     }
     while updates.try_recv().is_ok() {}
     assert!(updates.is_closed());
@@ -133,12 +150,13 @@
     let (mirror, _) = open();
     let pairs = [("a", Some("1")), ("b", Some("2")), ("c", Some("3"))];
     mirror.replace(rows(5, &pairs), Origin::Source);
-    mirror.apply(rows(6, &[("b", None)]), Origin::Source);
+    mirror.apply(rows(6, &[("b", None)]), Extent::NextChanges, Origin::Source);
     mirror.apply(
         rows(7, &[("c", Some("4")), ("d", Some(".1"))]),
+        Extent::NextChanges,
         Origin::Source,
     );
-    let first = |known| mirror.subscribe(Some(Position(known))).try_recv();
+    let first = |known| mirror.subscribe(Some(at(known))).try_recv();
     assert_eq!(
         first(5),
         Ok(changed(
@@ -166,16 +184,13 @@
     let (mirror, _) = open();
     let pairs = [("a", Some(".1")), ("b", Some("2")), ("c", Some("3"))];
     mirror.replace(rows(5, &pairs), Origin::Source);
-    let updates = mirror.subscribe(Some(Position(5)));
+    let updates = mirror.subscribe(Some(at(5)));
     updates.try_recv().unwrap();
     let pairs = [("a", Some(".2")), ("b", Some("4"))];
     mirror.replace(rows(8, &pairs), Origin::Source);
     let difference = changed(8, &[("c", None), ("b", Some("4"))]);
     assert_eq!(updates.try_recv(), Ok(difference.clone()));
-    assert_eq!(
-        mirror.subscribe(Some(Position(5))).try_recv(),
-        Ok(difference)
-    );
+    assert_eq!(mirror.subscribe(Some(at(5))).try_recv(), Ok(difference));
 }
 
 /// A subscriber that was away for longer than removals are remembered would keep servers that have
@@ -185,9 +200,52 @@
     let (mirror, _) = open();
     mirror.replace(rows(1, &[("kept", Some("1"))]), Origin::Source);
     for position in 2..=2 + REMOVED_MAX as u64 {
-        mirror.apply(rows(position, &[("a", None)]), Origin::Source);
+        mirror.apply(
+            rows(position, &[("a", None)]),
+            Extent::NextChanges,
+            Origin::Source,
+        );
     }
-    let first = |known| mirror.subscribe(Some(Position(known))).try_recv();
+    let first = |known| mirror.subscribe(Some(at(known))).try_recv();
     assert!(matches!(first(1), Ok(Update::Snapshot(_))));
     assert!(matches!(first(2), Ok(Update::Changed(_))));
 }
+
+fn in_era(era: u64, mut rows: Rows) -> Rows {
+    rows.position.era = Era(Some(era));
+    rows
+}
+
+/// Guards against subscribers that get differences to a content that they may not have: those that
+/// have read the table themselves are ahead of the router that relays it.
+#[test]
+fn replace_by_a_restored_source_publishes_the_whole_content() {
+    let (mirror, _) = open();
+    mirror.replace(rows(9, &[("a", Some("1"))]), Origin::Source);
+    let updates = mirror.subscribe(Some(at(9)));
+    updates.try_recv().unwrap();
+    let restored = in_era(2, rows(4, &[("b", Some("2"))]));
+    mirror.replace(restored.clone(), Origin::Source);
+    let snapshot = Update::Snapshot(Arc::new(restored.clone()));
+    assert_eq!(updates.try_recv(), Ok(snapshot.clone()));
+    assert_eq!(mirror.subscribe(Some(at(9))).try_recv(), Ok(snapshot));
+    let known = Some(restored.position);
+    let nothing = Update::Changed(Arc::new(in_era(2, rows(4, &[]))));
+    assert_eq!(mirror.subscribe(known).try_recv(), Ok(nothing));
+}
+
+/// Guards against removals of before a restore that are sent as changes of the new era.
+#[test]
+fn subscribe_after_a_restore_forgets_earlier_removals() {
+    let (mirror, _) = open();
+    mirror.replace(rows(1, &[("a", Some("1"))]), Origin::Source);
+    mirror.apply(rows(8, &[("a", None)]), Extent::NextChanges, Origin::Source);
+    mirror.replace(in_era(2, rows(4, &[("a", Some("1"))])), Origin::Source);
+    let changes = in_era(2, rows(6, &[("b", Some("2"))]));
+    mirror.apply(changes.clone(), Extent::NextChanges, Origin::Source);
+    let known = in_era(2, rows(4, &[])).position;
+    assert_eq!(
+        mirror.subscribe(Some(known)).try_recv(),
+        Ok(Update::Changed(Arc::new(changes)))
+    );
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -103,9 +103,11 @@
     fn introduction(&self, is_insisting: bool) -> Message {
         let known = self.mirrors.iter().enumerate();
         let known = known.filter_map(|(table, mirror)| {
+            let position = mirror.position()?;
             Some(KnownTable {
                 table: table as u32,
-                position: mirror.position()?.0,
+                position: position.version,
+                era: position.era.0,
             })
         });
         Message {
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -10,7 +10,7 @@
 use prost::Message as _;
 
 use crate::decide::fleet_counts::Counts;
-use crate::decide::table_position::Position;
+use crate::decide::table_position::{Era, Position};
 use crate::gateway::mirror::Update;
 use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
 use crate::gateway::relay::strikes::{send_changes, send_snapshot};
@@ -47,7 +47,10 @@
     let known = |table: usize| {
         let mut known = introduction.iter().flat_map(|i| &i.known);
         let known = known.find(|known| known.table as usize == table);
-        known.map(|known| Position(known.position))
+        known.map(|known| Position {
+            era: Era(known.era),
+            version: known.position,
+        })
     };
     let mirrors = relay.mirrors.iter().enumerate();
     let updates: Vec<_> = mirrors
@@ -156,7 +159,8 @@
     };
     let empty = Message {
         table,
-        position: rows.position.0,
+        position: rows.position.version,
+        era: rows.position.era.0,
         is_snapshot,
         ..Message::default()
     };
--- a/src/gateway/relay/row_codec/tests.rs
+++ b/src/gateway/relay/row_codec/tests.rs
@@ -95,7 +95,7 @@
     };
     Arc::new(Rows {
         rows: (0..count).map(server).collect(),
-        position: crate::decide::table_position::Position(1),
+        position: crate::decide::table_position::Position::default(),
     })
 }
 
@@ -125,7 +125,7 @@
     assert!(encoder.pack(&server_rows(2)).is_none());
     let large = Rows {
         rows: vec![row(Some(incompressible(60 * 1024))); 20],
-        position: crate::decide::table_position::Position(1),
+        position: crate::decide::table_position::Position::default(),
     };
     assert!(encoder.pack(&Arc::new(large)).is_none());
 }
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -7,7 +7,7 @@
 use rand::seq::SliceRandom;
 
 use crate::decide::fleet_counts::Scope;
-use crate::decide::table_position::Position;
+use crate::decide::table_position::{Era, Extent, Position};
 use crate::gateway::mirror::Origin;
 use crate::gateway::relay::counts::{CountLink, report_counts};
 use crate::gateway::relay::row_codec::RowDecoder;
@@ -129,6 +129,8 @@
 struct PendingTable {
     rows: Vec<Row>,
     has_received: bool,
+    /// Era of the last update.
+    era: Era,
 }
 
 /// Applies the updates of another router until the link fails, the router redirects this one, or it
@@ -178,11 +180,15 @@
             }
             let rows = Rows {
                 rows: std::mem::take(&mut pending.rows),
-                position: Position(message.position),
+                position: Position {
+                    era: Era(message.era),
+                    version: message.position,
+                },
             };
+            pending.era = rows.position.era;
             match message.is_snapshot {
                 true => mirror.replace(rows, Origin::Relay),
-                false => mirror.apply(rows, Origin::Relay),
+                false => _ = mirror.apply(rows, Extent::NextChanges, Origin::Relay),
             }
             pending.has_received = true;
         }
@@ -194,10 +200,22 @@
         if is_unavailable {
             return Ok(Ended::SourceLost);
         }
-        if !mirrors.iter().all(|mirror| mirror.is_relayed()) {
-            log::info!("event=relayed seed={address}");
-            mirrors.iter().for_each(|mirror| mirror.set_relayed(true));
+        // While the other router is in an earlier era of the source, or does not state its era, its
+        // updates change nothing here, so this router reads the tables itself.
+        let is_current = mirrors.iter().zip(&tables).all(|(mirror, table)| {
+            let position = mirror.position();
+            position.is_some_and(|position| position.era == table.era)
+        });
+        if is_current == mirrors.iter().all(|mirror| mirror.is_relayed()) {
+            continue;
+        }
+        match is_current {
+            true => log::info!("event=relayed seed={address}"),
+            false => log::info!("event=relay_outdated seed={address}"),
         }
+        mirrors
+            .iter()
+            .for_each(|mirror| mirror.set_relayed(is_current));
     }
 }
 
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -57,6 +57,9 @@
     /// Parts of prompts on which answers began.
     #[prost(message, repeated, tag = "15")]
     pub sound_parts: Vec<SoundPart>,
+    /// Era of the position; absent from routers of older versions, and if the source states none.
+    #[prost(uint64, optional, tag = "16")]
+    pub era: Option<u64>,
 }
 
 /// A part of a prompt on which an answer began.
@@ -139,6 +142,9 @@
     /// Position of its copy.
     #[prost(uint64, tag = "2")]
     pub position: u64,
+    /// Era of the position.
+    #[prost(uint64, optional, tag = "3")]
+    pub era: Option<u64>,
 }
 
 /// Response to a subscriber's introduction.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,6 +6,7 @@
 
 use rand::RngExt;
 
+use crate::decide::table_position::{Extent, Verdict};
 use crate::gateway::mirror::{Mirror, Origin};
 use crate::gateway::table::{Source, SourceError};
 
@@ -81,22 +82,27 @@
                     log::info!(
                         "event=source_back source={} failures={failures} position={}",
                         mirror.name(),
-                        rows.position.0,
+                        rows.position,
                     );
                 }
                 failures = 0;
-                needs_snapshot = false;
-                match position {
-                    None => mirror.replace(rows, Origin::Source),
-                    Some(_) => mirror.apply(rows, Origin::Source),
+                let verdict = match position {
+                    None => {
+                        mirror.replace(rows, Origin::Source);
+                        Verdict::Apply
+                    }
+                    Some(since) => mirror.apply(rows, Extent::ChangesAfter(since), Origin::Source),
+                };
+                needs_snapshot = verdict == Verdict::ReadSnapshot;
+                if !needs_snapshot {
+                    smol::Timer::after(timing.pause).await;
                 }
-                smol::Timer::after(timing.pause).await;
             }
             Err(SourceError::HistoryLost) => {
                 log::info!(
-                    "event=history_lost source={} position={:?}",
+                    "event=history_lost source={} position={}",
                     mirror.name(),
-                    position.map(|position| position.0),
+                    position.unwrap_or_default(),
                 );
                 needs_snapshot = true;
             }
