Keep what is in force when a restored store brings older rows

Cause: routers keep a configuration against an older one, but the mirror took the older row of the restored copy, or dropped the row that the copy lacks, and relayed that. A router that started then served dropped routes and removed keys again, or answered 503 for want of a configuration, while others served the newer one.

A handler now says for each row whether it is outdated; the mirror keeps and relays what is in force.

Two tests, which failed before: a router that starts after the restore gets the configuration in force from its relay, with an older one in the copy and with none, and follows the next change.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 
 use crate::decide::table_position::{Extent, Position, Verdict, check_update};
-use crate::gateway::table::{Propagation, Row, Rows, TableHandler};
+use crate::gateway::table::{Row, RowEffect, Rows, TableHandler};
 
 /// Capacity of a subscriber's queue. A subscriber that falls further behind is disconnected and
 /// has to subscribe again.
@@ -119,11 +119,11 @@
                     rows.rows.len(),
                     state.rows.len(),
                 );
-                self.handler.replace(&rows.rows);
+                let (rows, _) = self.resolve(&state, rows);
                 state.restart(rows);
             }
             Verdict::Apply => {
-                let published = self.handler.replace(&rows.rows);
+                let (rows, published) = self.resolve(&state, rows);
                 match state.position {
                     None => state.restart(rows),
                     Some(_) => state.set_next(rows, &published),
@@ -145,16 +145,50 @@
         }
         let mut published = Vec::new();
         for row in rows.rows {
-            let is_published = self.handler.apply(&row) == Propagation::Publish;
-            state.store(&row, rows.position, is_published);
-            if is_published {
-                published.push(row);
+            match self.handler.apply(&row) {
+                RowEffect::Publish => {
+                    state.store(&row, rows.position, true);
+                    published.push(row);
+                }
+                RowEffect::Skip => state.store(&row, rows.position, false),
+                RowEffect::Outdated => {}
             }
         }
         state.publish_changes(published, rows.position);
         verdict
     }
 
+    /// Applies a snapshot through the handler. Returns the content that results, which differs from
+    /// the snapshot where something newer stays in force, and the keys of the published rows.
+    fn resolve(&self, state: &State, rows: Rows) -> (Rows, IndexSet<String>) {
+        let effects = self.handler.replace(&rows.rows);
+        let mut content = Vec::new();
+        let mut published = IndexSet::new();
+        let mut listed = IndexSet::new();
+        for (row, effect) in rows.rows.into_iter().zip(effects) {
+            listed.insert(row.key.clone());
+            match effect {
+                RowEffect::Publish => {
+                    published.insert(row.key.clone());
+                    content.push(row);
+                }
+                RowEffect::Skip => content.push(row),
+                RowEffect::Outdated => content.extend(state.row(&row.key)),
+            }
+        }
+        let missing = state.rows.keys().filter(|key| !listed.contains(*key));
+        let kept = missing.filter(|key| self.handler.keeps_missing(key));
+        content.extend(kept.filter_map(|key| state.row(key)));
+        let position = rows.position;
+        (
+            Rows {
+                rows: content,
+                position,
+            },
+            published,
+        )
+    }
+
     fn log_ignored(&self, state: &State, rows: &Rows, origin: Origin) {
         log::info!(
             "event=rows_ignored source={} origin={origin:?} position={} known={} rows={}",
@@ -210,9 +244,12 @@
         self.publish(&Update::Snapshot(Arc::new(rows)));
     }
 
-    fn set_next(&mut self, rows: Rows, published: &[String]) {
+    fn row(&self, key: &str) -> Option<Row> {
+        Some(current_row(self.rows.get_key_value(key)?))
+    }
+
+    fn set_next(&mut self, rows: Rows, published: &IndexSet<String>) {
         let position = rows.position;
-        let published: IndexSet<&str> = published.iter().map(String::as_str).collect();
         let listed: IndexSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
         let is_missing = |key: &&String| !listed.contains(key.as_str());
         let missing: Vec<String> = self.rows.keys().filter(is_missing).cloned().collect();
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -1,27 +1,32 @@
 use super::*;
 use crate::decide::table_position::Era;
 
-/// Records its calls; content that starts with a dot is not published.
+fn effect(row: &Row) -> RowEffect {
+    match &row.content {
+        Some(content) if content.starts_with(b".") => RowEffect::Skip,
+        Some(content) if content.starts_with(b"!") => RowEffect::Outdated,
+        _ => RowEffect::Publish,
+    }
+}
+
+/// Records its calls; content that starts with a dot is not published, and content that starts with
+/// an exclamation mark is outdated.
 #[derive(Default)]
 struct RecordingHandler(Mutex<Vec<String>>);
 
 impl TableHandler for RecordingHandler {
-    fn replace(&self, rows: &[Row]) -> Vec<String> {
+    fn replace(&self, rows: &[Row]) -> Vec<RowEffect> {
         self.0.lock().push(format!("replace {}", rows.len()));
-        let is_published = |row: &&Row| {
-            let content = row.content.as_ref();
-            content.is_none_or(|content| !content.starts_with(b"."))
-        };
-        let published = rows.iter().filter(is_published);
-        published.map(|row| row.key.clone()).collect()
+        rows.iter().map(effect).collect()
     }
 
-    fn apply(&self, row: &Row) -> Propagation {
+    fn apply(&self, row: &Row) -> RowEffect {
         self.0.lock().push(format!("apply {}", row.key));
-        match &row.content {
-            Some(content) if content.starts_with(b".") => Propagation::Skip,
-            _ => Propagation::Publish,
-        }
+        effect(row)
+    }
+
+    fn keeps_missing(&self, key: &str) -> bool {
+        key == "kept-missing"
     }
 
     fn source_unavailable(&self) {
@@ -249,3 +254,25 @@
         Ok(Update::Changed(Arc::new(changes)))
     );
 }
+
+/// Guards against older rows of a restored source that are relayed in place of what is in force.
+#[test]
+fn replace_outdated_and_missing_rows_keep_the_content_in_force() {
+    let (mirror, _) = open();
+    let pairs = [
+        ("kept-missing", Some("1")),
+        ("outdated", Some("2")),
+        ("missing", Some("3")),
+    ];
+    mirror.replace(rows(9, &pairs), Origin::Source);
+    let pairs = [("outdated", Some("!1")), ("unknown", Some("!1"))];
+    mirror.replace(in_era(2, rows(4, &pairs)), Origin::Source);
+    let pairs = [("outdated", Some("2")), ("kept-missing", Some("1"))];
+    let expected = Update::Snapshot(Arc::new(in_era(2, rows(4, &pairs))));
+    assert_eq!(mirror.subscribe(None).try_recv(), Ok(expected));
+    let outdated = in_era(2, rows(5, &[("outdated", Some("!3"))]));
+    mirror.apply(outdated, Extent::NextChanges, Origin::Source);
+    let pairs = [("outdated", Some("2")), ("kept-missing", Some("1"))];
+    let expected = Update::Snapshot(Arc::new(in_era(2, rows(5, &pairs))));
+    assert_eq!(mirror.subscribe(None).try_recv(), Ok(expected));
+}
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -54,23 +54,28 @@
     ) -> SourceFuture<'_, Result<Rows, SourceError>>;
 }
 
-/// Whether a changed row is published to the subscribers of a mirror.
+/// Effect of a row on the router's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Propagation {
+pub enum RowEffect {
     /// Other routers need the change.
     Publish,
     /// Nothing changed that other routers need, for example only a heartbeat's count.
     Skip,
+    /// The row is older than what is in force, or cannot be used. What is known of it stays, also
+    /// for other routers.
+    Outdated,
 }
 
 /// Applies the content and the availability of a table to the router's state.
 pub trait TableHandler: Send + Sync + 'static {
-    /// Replaces the whole content by a snapshot; returns the keys of the rows whose change other
-    /// routers need.
-    fn replace(&self, rows: &[Row]) -> Vec<String>;
+    /// Replaces the whole content by a snapshot; returns the effect of each row.
+    fn replace(&self, rows: &[Row]) -> Vec<RowEffect>;
 
     /// Applies one changed row.
-    fn apply(&self, row: &Row) -> Propagation;
+    fn apply(&self, row: &Row) -> RowEffect;
+
+    /// Whether the row with this key, which a snapshot lacks, stays in force.
+    fn keeps_missing(&self, key: &str) -> bool;
 
     /// Called when the source does not answer.
     fn source_unavailable(&self);
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -7,7 +7,7 @@
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::{Change, Registration};
 use crate::gateway::state::State;
-use crate::gateway::table::{Propagation, Row, TableHandler};
+use crate::gateway::table::{Row, RowEffect, TableHandler};
 use crate::ids::ServerId;
 
 /// Decodes the content of a row; the error says why the row cannot be used.
@@ -22,15 +22,19 @@
 }
 
 impl RoutingHandler {
-    fn set_table(&self, table: RoutingTable) {
+    /// Puts a table in force unless a newer one is.
+    fn set_table(&self, table: RoutingTable) -> RowEffect {
         let mut routing = self.state.routing.write();
         let current = routing.as_ref().map(|current| current.version);
-        if current.is_some_and(|current| current >= table.version) {
+        if current == Some(table.version) {
+            return RowEffect::Publish;
+        }
+        if let Some(current) = current.filter(|current| *current > table.version) {
             log::info!(
-                "event=routes_outdated version={} in_force={current:?}",
+                "event=routes_outdated version={} in_force={current}",
                 table.version
             );
-            return;
+            return RowEffect::Outdated;
         }
         log::info!(
             "event=routes version={} hosts={} keys={}",
@@ -40,18 +44,16 @@
         );
         self.state.caller_timeouts.apply(&table.limits);
         *routing = Some(Arc::new(table));
+        RowEffect::Publish
     }
 }
 
 impl TableHandler for RoutingHandler {
-    fn replace(&self, rows: &[Row]) -> Vec<String> {
-        for row in rows {
-            self.apply(row);
-        }
-        rows.iter().map(|row| row.key.clone()).collect()
+    fn replace(&self, rows: &[Row]) -> Vec<RowEffect> {
+        rows.iter().map(|row| self.apply(row)).collect()
     }
 
-    fn apply(&self, row: &Row) -> Propagation {
+    fn apply(&self, row: &Row) -> RowEffect {
         let key = &row.key;
         match row
             .content
@@ -61,10 +63,19 @@
             Some(Ok(table)) => self.set_table(table),
             Some(Err(problem)) => {
                 log::warn!("event=routes_unreadable key={key} problem=\"{problem}\"");
+                RowEffect::Outdated
+            }
+            None => {
+                log::warn!("event=routes_removed key={key}");
+                RowEffect::Outdated
             }
-            None => log::warn!("event=routes_removed key={key}"),
         }
-        Propagation::Publish
+    }
+
+    /// The operator replaces a configuration and never removes it.
+    fn keeps_missing(&self, key: &str) -> bool {
+        log::warn!("event=routes_missing key={key}");
+        true
     }
 
     fn source_unavailable(&self) {
@@ -110,8 +121,17 @@
     }
 }
 
+/// Effect of a server's row that was set.
+fn effect(change: Change) -> RowEffect {
+    match change {
+        Change::None => RowEffect::Skip,
+        Change::Outdated => RowEffect::Outdated,
+        Change::Joined | Change::Left | Change::Returned | Change::Lapsed => RowEffect::Publish,
+    }
+}
+
 impl TableHandler for ServerHandler {
-    fn replace(&self, rows: &[Row]) -> Vec<String> {
+    fn replace(&self, rows: &[Row]) -> Vec<RowEffect> {
         let now_ms = self.state.now_ms();
         let mut registrations = Vec::new();
         let mut unreadable = Vec::new();
@@ -126,31 +146,35 @@
             .registry
             .lock()
             .replace(registrations, &unreadable, now_ms);
-        let mut published = Vec::new();
+        let mut effects = IndexMap::new();
         for (id, change) in changes {
             log_change(&id, change);
-            if !matches!(change, Change::None | Change::Outdated) {
-                published.push(id.as_str().to_owned());
-            }
+            effects.insert(id, effect(change));
         }
-        published
+        let effect = |row: &Row| effects.get(row.key.as_str()).copied();
+        let effects = rows.iter().map(effect);
+        effects.map(|e| e.unwrap_or(RowEffect::Skip)).collect()
     }
 
-    fn apply(&self, row: &Row) -> Propagation {
+    fn apply(&self, row: &Row) -> RowEffect {
         let now_ms = self.state.now_ms();
         let id = ServerId::from(row.key.as_str());
         let change = match (&row.content, self.decode_row(row)) {
             (None, _) => self.state.registry.lock().remove(&id, now_ms),
             (Some(_), Some(registration)) => self.state.registry.lock().set(registration, now_ms),
-            (Some(_), None) => return Propagation::Skip,
+            (Some(_), None) => return RowEffect::Skip,
         };
         log_change(&id, change);
-        match (change, &row.content) {
-            (Change::None | Change::Outdated, Some(_)) => Propagation::Skip,
-            _ => Propagation::Publish,
+        match row.content {
+            Some(_) => effect(change),
+            None => RowEffect::Publish,
         }
     }
 
+    fn keeps_missing(&self, _key: &str) -> bool {
+        false
+    }
+
     fn source_unavailable(&self) {
         self.state.record_servers_source(false);
         let now_ms = self.state.now_ms();
