Let a seed copy the tables of another seed when it starts

Cause: seeds read the store themselves and get no tables from other routers. One that starts after a restore took the older configuration of the copy, and served removed keys, while the other seeds had the newer one in force.

Such a link carries no counts: as a subscription it raised the number of routers for good.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,7 +100,7 @@
         });
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
-        relay::spawn(state, &mirrors, stop)?;
+        let start = relay::spawn(state, &mirrors, stop)?;
         let (shared, quarantines) = (Arc::clone(state), self.quarantines);
         state.runtime.spawn_supervised(move || {
             let mirrors = Arc::clone(&mirrors);
@@ -116,11 +116,13 @@
             long_poll_timeout: LONG_POLL_TIMEOUT,
             pause: ROUTES_POLL_PAUSE,
             standby_routers: standby_routers.clone(),
+            start: start.clone(),
         };
         let servers_timing = PollTiming {
             long_poll_timeout: LONG_POLL_TIMEOUT,
             pause: Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR),
             standby_routers,
+            start,
         };
         let watch = |source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming| {
             move || watch_table(Arc::clone(&source), Arc::clone(&mirror), timing.clone())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,11 +5,13 @@
 //! itself while no router relays them. The same links carry the number of requests on each server:
 //! sums of subtrees towards the seeds, and totals of the fleet back.
 
+mod copy_tables;
 mod counts;
 mod publish;
 mod row_codec;
 mod strikes;
 mod subscribe;
+mod table_receiver;
 pub mod wire;
 
 use std::net::SocketAddr;
@@ -25,6 +27,7 @@
 use crate::decide::relay_tree::{Admission, RelayTree, Subscriber};
 use crate::error::{Error, Result};
 use crate::gateway::mirror::Mirror;
+use crate::gateway::relay::copy_tables::{copy_from_seeds, send_copy};
 use crate::gateway::relay::counts::{CountLink, receive_counts, report_counts};
 use crate::gateway::relay::publish::publish_to_subscriber;
 use crate::gateway::relay::row_codec::RowEncoder;
@@ -99,6 +102,18 @@
         handshake(stream, &self.settings.key, Side::Dialer).await
     }
 
+    /// First message on a link over which a seed copies the tables of another. A router of an older
+    /// version takes it for a subscriber.
+    fn copy_request(&self) -> Message {
+        let mut message = self.introduction(true);
+        message.is_seed = false;
+        if let Some(introduction) = &mut message.introduction {
+            introduction.degree = 0;
+            introduction.is_copying = true;
+        }
+        message
+    }
+
     /// First message on a link that this router opens.
     fn introduction(&self, is_insisting: bool) -> Message {
         let known = self.mirrors.iter().enumerate();
@@ -119,6 +134,7 @@
                 degree: self.settings.degree as u32,
                 is_insisting,
                 known: known.collect(),
+                is_copying: false,
             }),
             ..Message::default()
         }
@@ -126,10 +142,12 @@
 }
 
 /// Binds the relay's listener and starts its tasks: every router serves subscribers, seeds report
-/// counts to the other seeds, and all other routers subscribe.
-pub fn spawn(state: &Arc<State>, mirrors: &Mirrors, stop: &Shutdown) -> Result<()> {
+/// counts to the other seeds, and all other routers subscribe. The returned channel closes when this
+/// router may read the tables: once a seed has tried to copy them from the others.
+pub fn spawn(state: &Arc<State>, mirrors: &Mirrors, stop: &Shutdown) -> Result<Receiver<()>> {
+    let (copying, copied) = async_channel::bounded(1);
     let Some(settings) = state.settings().relay.clone() else {
-        return Ok(());
+        return Ok(copied);
     };
     let address = settings.listen;
     let listener = std::net::TcpListener::bind(address)
@@ -154,6 +172,11 @@
     runtime.spawn_supervised(move || strikes::publish_loop(Arc::clone(&shared)));
     match relay.is_seed() {
         true => {
+            let shared = Arc::clone(&relay);
+            runtime.spawn_detached(async move {
+                copy_from_seeds(shared).await;
+                drop(copying);
+            });
             let seeds = relay.settings.seeds.iter();
             for seed in seeds.filter(|seed| **seed != address) {
                 let (relay, seed) = (Arc::clone(&relay), *seed);
@@ -164,7 +187,7 @@
             runtime.spawn_supervised(move || subscribe::subscribe_loop(Arc::clone(&relay)));
         }
     }
-    Ok(())
+    Ok(copied)
 }
 
 async fn accept_loop(relay: Arc<Relay>, listener: TcpListener, stop: Shutdown) {
@@ -204,7 +227,11 @@
     let (mut writer, mut reader) = handshake(stream, &relay.settings.key, Side::Acceptor).await?;
     // Receiving the first message proves that the other router has the key.
     let (first, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
-    let subscriber = decode_subscriber(first.introduction.as_ref())?;
+    let introduction = first.introduction.as_ref();
+    if introduction.is_some_and(|introduction| introduction.is_copying) {
+        return send_copy(relay, &mut writer).await;
+    }
+    let subscriber = decode_subscriber(introduction)?;
     if first.is_seed {
         let link = CountLink::open(relay, Scope::Group, None);
         if let Some(address) = subscriber.address {
@@ -219,7 +246,6 @@
             let feed = relay.state.strike_feed.open_link();
             let link = CountLink::open(relay, Scope::Subtree, Some(&feed));
             relay.tree.lock().add_child(link.id, subscriber);
-            let introduction = first.introduction.as_ref();
             let publish = publish_to_subscriber(relay, &mut writer, introduction, &feed);
             return receive_counts(&mut reader, &link).or(publish).await;
         }
@@ -230,6 +256,7 @@
         table: NO_TABLE,
         admission: Some(wire::Admission {
             path: Vec::new(),
+            has_no_tables: false,
             redirects: redirects.iter().map(SocketAddr::to_string).collect(),
         }),
         ..Message::default()
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -134,6 +134,7 @@
     let admission = wire::Admission {
         path: path.iter().map(SocketAddr::to_string).collect(),
         redirects: Vec::new(),
+        has_no_tables: false,
     };
     let message = Message {
         table: NO_TABLE,
@@ -145,7 +146,12 @@
 }
 
 /// Encodes an update as one or more messages.
-fn encode_update(relay: &Relay, table: u32, update: &Update, is_packing: bool) -> Vec<Message> {
+pub(super) fn encode_update(
+    relay: &Relay,
+    table: u32,
+    update: &Update,
+    is_packing: bool,
+) -> Vec<Message> {
     let (rows, is_snapshot) = match update {
         Update::Unavailable => {
             return vec![Message {
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -7,13 +7,10 @@
 use rand::seq::SliceRandom;
 
 use crate::decide::fleet_counts::Scope;
-use crate::decide::table_position::{Era, Extent, Position};
-use crate::gateway::mirror::Origin;
 use crate::gateway::relay::counts::{CountLink, report_counts};
-use crate::gateway::relay::row_codec::RowDecoder;
+use crate::gateway::relay::table_receiver::TableReceiver;
 use crate::gateway::relay::wire::{Admission, Message};
 use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE};
-use crate::gateway::table::{Row, Rows};
 use crate::peer::frame::{FrameReader, LinkError};
 
 /// Maximum number of routers that are asked below one seed, which bounds the time of a search.
@@ -124,15 +121,6 @@
         .await
 }
 
-/// Rows of one table received so far.
-#[derive(Default)]
-struct PendingTable {
-    rows: Vec<Row>,
-    has_received: bool,
-    /// Era of the last update.
-    era: Era,
-}
-
 /// Applies the updates of another router until the link fails, the router redirects this one, or it
 /// cannot reach the tables and has sent an update of each.
 async fn receive_updates(
@@ -142,9 +130,7 @@
     link: &CountLink<'_>,
 ) -> Result<Ended, LinkError> {
     let mirrors = &relay.mirrors;
-    let mut tables: Vec<PendingTable> = mirrors.iter().map(|_| PendingTable::default()).collect();
-    let mut is_unavailable = false;
-    let mut decoder = RowDecoder::default();
+    let mut tables = TableReceiver::new(mirrors);
     loop {
         let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
         if let Some(admission) = &message.admission {
@@ -162,50 +148,16 @@
             }
             continue;
         }
-        let table = message.table as usize;
-        let (Some(mirror), Some(pending)) = (mirrors.get(table), tables.get_mut(table)) else {
-            return Err(LinkError::Protocol("the table number is unknown"));
-        };
-        if message.is_unavailable {
-            mirror.mark_unavailable();
-            is_unavailable = true;
-            pending.has_received = true;
-        } else {
-            pending.rows.extend(decoder.unpack(&message.packed_rows)?);
-            for chunk in message.rows {
-                pending.rows.extend(decoder.decode(chunk)?);
-            }
-            if message.has_more {
-                continue;
-            }
-            let rows = Rows {
-                rows: std::mem::take(&mut pending.rows),
-                position: Position {
-                    era: Era(message.era),
-                    version: message.position,
-                },
-            };
-            pending.era = rows.position.era;
-            match message.is_snapshot {
-                true => mirror.replace(rows, Origin::Relay),
-                false => _ = mirror.apply(rows, Extent::NextChanges, Origin::Relay),
-            }
-            pending.has_received = true;
-        }
-        if !tables.iter().all(|table| table.has_received) {
+        tables.apply(message)?;
+        if !tables.has_all() {
             continue;
         }
         // A router that cannot reach the tables may still have content that this one has never
         // read, so an update of each table is received before the link is closed.
-        if is_unavailable {
+        if tables.is_unavailable {
             return Ok(Ended::SourceLost);
         }
-        // While the other router is in an earlier era of the source, or does not state its era, its
-        // updates change nothing here, so this router reads the tables itself.
-        let is_current = mirrors.iter().zip(&tables).all(|(mirror, table)| {
-            let position = mirror.position();
-            position.is_some_and(|position| position.era == table.era)
-        });
+        let is_current = tables.is_current();
         if is_current == mirrors.iter().all(|mirror| mirror.is_relayed()) {
             continue;
         }
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -131,6 +131,9 @@
     /// Positions up to which it knows the tables; a table without an entry is not known.
     #[prost(message, repeated, tag = "5")]
     pub known: Vec<KnownTable>,
+    /// Whether it only copies the tables as they are, and then closes the link.
+    #[prost(bool, tag = "6")]
+    pub is_copying: bool,
 }
 
 /// Position up to which a router knows a table.
@@ -157,6 +160,9 @@
     /// Routers to try instead.
     #[prost(string, repeated, tag = "2")]
     pub redirects: Vec<String>,
+    /// In response to a router that copies the tables: whether the sender does not know them all.
+    #[prost(bool, tag = "3")]
+    pub has_no_tables: bool,
 }
 
 /// Rows that are deflated together.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use async_channel::Receiver;
 use rand::RngExt;
 
 use crate::decide::table_position::{Extent, Verdict};
@@ -20,6 +21,8 @@
     /// Number of routers that read the source when no other router relays the table to them, as far
     /// as known; `None` for a router that always reads it.
     pub standby_routers: Option<Arc<AtomicU32>>,
+    /// Closes when the source may be read for the first time.
+    pub start: Receiver<()>,
 }
 
 /// First pause after a failure, doubled for each consecutive one.
@@ -62,8 +65,10 @@
     if timing.standby_routers.is_some() {
         wait_for_relay(&mirror).await;
     }
+    // Nothing is sent; the error says that the channel has closed.
+    let _ = timing.start.recv().await;
     let mut failures = 0;
-    let mut needs_snapshot = true;
+    let mut needs_snapshot = false;
     loop {
         if mirror.is_relayed() {
             // Relayed updates advance the mirror's position, so a later watch continues from there.
