Keep servers that the copy of a restored store lacks until they register again

Cause: a missing row counts as that of a server which left, unless the store had been away for at least 2.4 s, the time in which a row can lapse. A restored store lacks rows however short it was away.

A new era starts the time for registering again, as the end of a long outage does. Test, which failed before: a server that the copy lacks keeps its requests.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -191,6 +191,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy, which lacks the servers that registered
+    /// since: however short the outage, their rows are missing until they register again.
+    pub fn on_store_restored(&mut self, now_ms: u64) {
+        self.store_lost_ms = None;
+        self.store_recovered_ms = Some(now_ms);
+    }
+
     /// Removes and returns the servers that did not register again in time after a lapse.
     pub fn expire(&mut self, now_ms: u64) -> Vec<ServerId> {
         let has_expired = |entry: &Entry| entry.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -122,3 +122,20 @@
     registry.set(row("a", 2, 1), 0);
     assert_eq!(usable(&registry), ["a"]);
 }
+
+/// Guards against servers that are given up because the copy from which the store was restored is
+/// older than their registration.
+#[test]
+fn replace_after_a_restore_keeps_missing_servers_until_they_register_again() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 5, 1), 0);
+    registry.set(row("b", 5, 1), 0);
+    registry.on_store_restored(10_000);
+    let changes = registry.replace(Vec::new(), &[], 10_000);
+    assert!(changes.iter().all(|(_, change)| *change == Change::Lapsed));
+    assert!(registry.get(&ServerId::from("a"), 11_000).is_some());
+    assert_eq!(registry.set(row("a", 5, 9), 11_500), Change::Returned);
+    registry.expire(12_000);
+    assert!(registry.get(&ServerId::from("a"), 12_000).is_some());
+    assert!(registry.get(&ServerId::from("b"), 12_000).is_none());
+}
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -119,6 +119,7 @@
                     rows.rows.len(),
                     state.rows.len(),
                 );
+                self.handler.source_restored();
                 let (rows, _) = self.resolve(&state, rows);
                 state.restart(rows);
             }
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -78,6 +78,8 @@
         true
     }
 
+    fn source_restored(&self) {}
+
     fn source_unavailable(&self) {
         self.state.record_routes_source(false);
     }
@@ -175,6 +177,11 @@
         false
     }
 
+    fn source_restored(&self) {
+        let now_ms = self.state.now_ms();
+        self.state.registry.lock().on_store_restored(now_ms);
+    }
+
     fn source_unavailable(&self) {
         self.state.record_servers_source(false);
         let now_ms = self.state.now_ms();
