Doubt rows of servers that have left in the copy of a restored store

Seen in the test: 12 of 20 requests go to a server that had left before the restore and stands in the copy as ready.

Cause: the registry forgets a server with its row, so the row of the copy looks like that of a new server.

The registry remembers the servers that have left.

Tests: a server that left before the restore gets no requests (failed before); one whose row stays, as it had only lapsed, is used again.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -22,6 +22,13 @@
 /// belongs to a server that has left.
 const OUTAGE_MIN_MS: u64 = 2_400;
 
+/// Time from a restore of the store for which a row in it is not evidence of a server that was known
+/// to have left: the platform drops the row of a silent server after three heartbeats, about 1.2 s
+/// apart, and routers learn of it up to a second later.
+const RESTORED_ROWS_DOUBTED_MS: u64 = 5_000;
+/// Number of servers that have left and are remembered: more than the design size has.
+const LEFT_MAX: usize = 4_096;
+
 /// Row that a server registers for itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
@@ -85,6 +92,12 @@
     store_lost_ms: Option<u64>,
     /// End of the last outage of the store in which rows of live servers may have expired.
     store_recovered_ms: Option<u64>,
+    /// Incarnations of the servers that have left, the last one last.
+    left: IndexMap<ServerId, Incarnation>,
+    /// End of the time for which rows of servers that have left are doubted.
+    doubted_until_ms: Option<u64>,
+    /// Whether a snapshot listed servers that are not used because their rows are doubted.
+    has_doubted_rows: bool,
 }
 
 impl Registry {
@@ -120,6 +133,7 @@
     }
 
     fn insert(&mut self, registration: Registration, now_ms: u64) {
+        self.left.shift_remove(&registration.id);
         let entry = Entry {
             registration,
             expires_at_ms: None,
@@ -135,7 +149,7 @@
             return Change::None;
         };
         if entry.registration.is_leaving {
-            self.entries.shift_remove(id);
+            self.drop_entry(id);
             return Change::None;
         }
         let expires_at_ms = self
@@ -147,12 +161,23 @@
                 Change::Lapsed
             }
             None => {
-                self.entries.shift_remove(id);
+                self.drop_entry(id);
                 Change::Left
             }
         }
     }
 
+    fn drop_entry(&mut self, id: &ServerId) {
+        let Some(entry) = self.entries.shift_remove(id) else {
+            return;
+        };
+        let incarnation = entry.registration.incarnation;
+        self.left.insert(id.clone(), incarnation);
+        if self.left.len() > LEFT_MAX {
+            self.left.shift_remove_index(0);
+        }
+    }
+
     /// Applies a snapshot of all rows: the row of each server that is not in it counts as
     /// removed. A server whose row is unreadable keeps its known state.
     pub fn replace(
@@ -173,11 +198,33 @@
         }
         for row in rows {
             let id = row.id.clone();
-            changes.push((id, self.set(row, now_ms)));
+            let change = match self.is_doubted(&row, now_ms) {
+                true => {
+                    self.has_doubted_rows = true;
+                    Change::Outdated
+                }
+                false => self.set(row, now_ms),
+            };
+            changes.push((id, change));
         }
         changes
     }
 
+    /// Whether a row in a snapshot may be that of before the server left, from the copy of a restored
+    /// store.
+    fn is_doubted(&self, row: &Registration, now_ms: u64) -> bool {
+        let is_doubtful_time = self.doubted_until_ms.is_some_and(|until| now_ms < until);
+        let left = self.left.get(&row.id);
+        is_doubtful_time && left.is_some_and(|incarnation| row.incarnation <= *incarnation)
+    }
+
+    /// Whether a snapshot is due in which rows that were doubted count again: their servers would
+    /// have lost them by now if they did not run. True once.
+    pub fn take_snapshot_due(&mut self, now_ms: u64) -> bool {
+        let is_over = self.doubted_until_ms.is_none_or(|until| now_ms >= until);
+        is_over && std::mem::take(&mut self.has_doubted_rows)
+    }
+
     /// Records that the store does not respond.
     pub fn on_store_lost(&mut self, now_ms: u64) {
         self.store_lost_ms.get_or_insert(now_ms);
@@ -192,10 +239,12 @@
     }
 
     /// Records that the store came back from an older copy, which lacks the servers that registered
-    /// since: however short the outage, their rows are missing until they register again.
+    /// since: however short the outage, their rows are missing until they register again. Servers
+    /// that have left since stand in it again.
     pub fn on_store_restored(&mut self, now_ms: u64) {
         self.store_lost_ms = None;
         self.store_recovered_ms = Some(now_ms);
+        self.doubted_until_ms = Some(now_ms + RESTORED_ROWS_DOUBTED_MS);
     }
 
     /// Removes and returns the servers that did not register again in time after a lapse.
@@ -203,7 +252,7 @@
         let has_expired = |entry: &Entry| entry.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
         let expired = self.entries.iter().filter(|(_, entry)| has_expired(entry));
         let expired: Vec<ServerId> = expired.map(|(id, _)| id.clone()).collect();
-        self.entries.retain(|_, entry| !has_expired(entry));
+        expired.iter().for_each(|id| self.drop_entry(id));
         expired
     }
 
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -139,3 +139,44 @@
     assert!(registry.get(&ServerId::from("a"), 12_000).is_some());
     assert!(registry.get(&ServerId::from("b"), 12_000).is_none());
 }
+
+/// Guards against requests to a server that has left and stands in the copy from which the store was
+/// restored: nothing else remembers it.
+#[test]
+fn replace_after_a_restore_doubts_rows_of_servers_that_have_left() {
+    let mut registry = Registry::default();
+    registry.set(row("drained", 5, 1), 0);
+    registry.set(leaving("drained", 5, 2), 0);
+    registry.set(row("removed", 5, 1), 0);
+    registry.remove(&ServerId::from("drained"), 100);
+    registry.remove(&ServerId::from("removed"), 100);
+    registry.on_store_restored(10_000);
+    let copy = || vec![row("drained", 5, 1), row("removed", 5, 1), row("new", 7, 1)];
+    registry.replace(copy(), &[], 10_000);
+    assert_eq!(usable(&registry), ["new"]);
+    assert!(!registry.take_snapshot_due(14_900));
+    assert_eq!(registry.set(row("removed", 5, 9), 11_000), Change::Joined);
+    registry.replace(vec![row("drained", 6, 1)], &[], 11_000);
+    assert_eq!(
+        registry
+            .get(&ServerId::from("drained"), 11_000)
+            .map(|r| r.incarnation),
+        Some(Incarnation(6))
+    );
+}
+
+/// Guards against a server that runs and is never used again, because it had been taken as gone
+/// before the restore.
+#[test]
+fn take_snapshot_due_rows_that_outlast_a_restore_count_again() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 5, 1), 0);
+    registry.remove(&ServerId::from("a"), 100);
+    registry.on_store_restored(10_000);
+    registry.replace(vec![row("a", 5, 1)], &[], 10_000);
+    assert!(usable(&registry).is_empty());
+    assert!(registry.take_snapshot_due(15_000));
+    assert!(!registry.take_snapshot_due(15_000));
+    registry.replace(vec![row("a", 5, 1)], &[], 15_000);
+    assert_eq!(usable(&registry), ["a"]);
+}
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -89,6 +89,11 @@
         self.state.lock().position
     }
 
+    /// Whether a snapshot is to be read from the source, although no changes were missed; true once.
+    pub fn take_snapshot_due(&self) -> bool {
+        self.handler.take_snapshot_due()
+    }
+
     /// Whether another router relays this table, so that this one need not read the source.
     pub fn is_relayed(&self) -> bool {
         self.is_relayed.load(Ordering::Relaxed)
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -33,6 +33,10 @@
         self.0.lock().push("lost".to_owned());
     }
 
+    fn take_snapshot_due(&self) -> bool {
+        false
+    }
+
     fn source_restored(&self) {
         self.0.lock().push("restored".to_owned());
     }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -77,6 +77,9 @@
     /// Whether the row with this key, which a snapshot lacks, stays in force.
     fn keeps_missing(&self, key: &str) -> bool;
 
+    /// Whether a snapshot is to be read from the source, although no changes were missed.
+    fn take_snapshot_due(&self) -> bool;
+
     /// Called before the first snapshot after the source came back from an older copy.
     fn source_restored(&self);
 
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -78,6 +78,10 @@
         true
     }
 
+    fn take_snapshot_due(&self) -> bool {
+        false
+    }
+
     fn source_restored(&self) {}
 
     fn source_unavailable(&self) {
@@ -177,6 +181,11 @@
         false
     }
 
+    fn take_snapshot_due(&self) -> bool {
+        let now_ms = self.state.now_ms();
+        self.state.registry.lock().take_snapshot_due(now_ms)
+    }
+
     fn source_restored(&self) {
         let now_ms = self.state.now_ms();
         self.state.registry.lock().on_store_restored(now_ms);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -69,14 +69,17 @@
     let _ = timing.start.recv().await;
     let mut failures = 0;
     let mut needs_snapshot = false;
+    let mut is_snapshot_due = false;
     loop {
-        if mirror.is_relayed() {
+        is_snapshot_due |= mirror.take_snapshot_due();
+        if mirror.is_relayed() && !is_snapshot_due {
             // Relayed updates advance the mirror's position, so a later watch continues from there.
             failures = 0;
             smol::Timer::after(STANDBY_POLL).await;
             continue;
         }
-        let position = mirror.position().filter(|_| !needs_snapshot);
+        let position = mirror.position();
+        let position = position.filter(|_| !needs_snapshot && !is_snapshot_due);
         let response = match position {
             None => source.read().await,
             Some(position) => source.changes(position, timing.long_poll_timeout).await,
@@ -93,6 +96,7 @@
                 failures = 0;
                 let verdict = match position {
                     None => {
+                        is_snapshot_due = false;
                         mirror.replace(rows, Origin::Source);
                         Verdict::Apply
                     }
@@ -119,7 +123,9 @@
                         mirror.name()
                     );
                 }
-                mirror.mark_unavailable();
+                if !mirror.is_relayed() {
+                    mirror.mark_unavailable();
+                }
                 let routers = timing.standby_routers.as_ref();
                 let routers = routers.map_or(1, |routers| routers.load(Ordering::Relaxed));
                 smol::Timer::after(backoff(failures, routers)).await;
