Store quarantines again after the store was restored

Cause: a router compares its quarantines with what it last wrote to the store. A restored store has lost them, and nothing wrote them again: after the loss of all routers the request would have crashed three further servers.

When a watched table shows a new era, the stored quarantines are read again, by the first seed at once and by the others a second apart, so that one router writes what is missing. A quarantine that this router knew and that is not in force any more is not taken up again from the copy, and is removed from it.

Test, which failed before: stored again with one write, and refused after all routers were lost.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,6 +1,9 @@
 //! Refusal of requests that have crashed several servers, and the store that keeps quarantines
 //! beyond the loss of all routers.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +11,7 @@
 use rand::RngExt;
 
 use crate::decide::strikes::{Fingerprint, Quarantine, StrikePolicy, StrikeStatus};
+use crate::decide::table_position::Era;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::relay::Mirrors;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
@@ -100,6 +104,8 @@
 /// Content of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StoredQuarantines {
+    /// Era of the store in which they were read.
+    pub era: Era,
     /// All quarantines, also those that have ended.
     pub quarantines: Vec<StoredQuarantine>,
     /// Time of the store's clock, which is steady, in ms.
@@ -133,9 +139,15 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of rows in an update; the platform accepts 100.
 const UPDATE_ROWS_MAX: usize = 50;
+/// Number of removed quarantines that are remembered for the case of a restore.
+const REMOVED_MAX: usize = 1_024;
 /// Shortest and longest pause after a failed access.
 const RETRY_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
 
+/// Pause between two routers that compare their quarantines with a restored store, so that the later
+/// ones find what the first one has stored: routers notice a restore within a second of each other.
+const RESTORED_STEP_MS: u64 = 1_000;
+
 /// Loads the stored quarantines and stores new ones, while no other router relays the tables to
 /// this one. Never returns.
 pub async fn store_loop(state: Arc<State>, store: Arc<dyn QuarantineStore>, mirrors: Mirrors) {
@@ -149,8 +161,18 @@
             smol::Timer::after(START_POLL).await;
             continue;
         }
+        let eras = mirrors.iter().filter_map(|mirror| mirror.position());
+        let era = eras.map(|position| position.era).max().unwrap_or_default();
+        if copy.as_mut().is_some_and(|copy| copy.begin_restore(era)) {
+            log::warn!("event=quarantines_restored era={era}");
+            smol::Timer::after(restore_pause(&state)).await;
+            continue;
+        }
         let result = match &mut copy {
-            None => load(&state, &*store)
+            None => load(&state, &*store, None)
+                .await
+                .map(|loaded| copy = Some(loaded)),
+            Some(outdated) if outdated.is_outdated => load(&state, &*store, Some(outdated))
                 .await
                 .map(|loaded| copy = Some(loaded)),
             Some(copy) => update(&state, &*store, copy).await,
@@ -166,8 +188,33 @@
     }
 }
 
+/// Pause of this router before it compares its quarantines with those of a restored store.
+fn restore_pause(state: &State) -> Duration {
+    let settings = state.settings();
+    let relay = settings.relay.as_ref();
+    let seeds = relay.map_or(&[][..], |relay| &relay.seeds);
+    let rank = seeds
+        .iter()
+        .position(|seed| relay.is_some_and(|relay| *seed == relay.listen));
+    let pause_ms = match rank {
+        Some(rank) => rank as u64 * RESTORED_STEP_MS,
+        // Routers that read the store for want of a relay follow the seeds, spread over one step.
+        None => {
+            seeds.len() as u64 * RESTORED_STEP_MS + rand::rng().random_range(0..RESTORED_STEP_MS)
+        }
+    };
+    Duration::from_millis(pause_ms)
+}
+
 /// What the store is known to contain.
+#[derive(Debug, Default)]
 struct StoreCopy {
+    /// Era in which it was read.
+    era: Era,
+    /// Whether the store has been restored since.
+    is_outdated: bool,
+    /// Quarantines that this router has removed from the store.
+    removed: IndexSet<Fingerprint>,
     /// End of each quarantine, in ms on the store's clock.
     until_ms: IndexMap<Fingerprint, u64>,
     /// Time of the store's clock when it was read.
@@ -177,15 +224,37 @@
 }
 
 impl StoreCopy {
+    /// Marks the copy as outdated if the store has been restored; returns whether it was not before.
+    fn begin_restore(&mut self, era: Era) -> bool {
+        let is_restored = era > self.era && !self.is_outdated;
+        self.is_outdated |= is_restored;
+        is_restored
+    }
+
+    /// Whether this router knew a quarantine, so that it has ended or was lifted if it is not in
+    /// force.
+    fn has_known(&self, fingerprint: Fingerprint) -> bool {
+        self.until_ms.contains_key(&fingerprint) || self.removed.contains(&fingerprint)
+    }
+
     fn store_ms(&self, now_ms: u64) -> u64 {
         self.read_store_ms + now_ms.saturating_sub(self.read_ms)
     }
 }
 
-async fn load(state: &State, store: &dyn QuarantineStore) -> Result<StoreCopy, SourceError> {
+/// Reads the stored quarantines and puts those in force that were not known at `previous`.
+async fn load(
+    state: &State,
+    store: &dyn QuarantineStore,
+    previous: Option<&StoreCopy>,
+) -> Result<StoreCopy, SourceError> {
     let stored = store.load().await?;
     let now_ms = state.now_ms();
-    let in_force = stored.quarantines.iter().filter_map(|quarantine| {
+    let is_new = |quarantine: &&StoredQuarantine| {
+        previous.is_none_or(|previous| !previous.has_known(quarantine.fingerprint))
+    };
+    let new = stored.quarantines.iter().filter(is_new);
+    let in_force = new.filter_map(|quarantine| {
         let left_ms = quarantine.until_ms.checked_sub(stored.now_ms)?;
         Some(Quarantine {
             fingerprint: quarantine.fingerprint,
@@ -202,6 +271,9 @@
     state.strike_feed.publish(changes, None);
     let quarantines = stored.quarantines.iter();
     Ok(StoreCopy {
+        era: stored.era,
+        is_outdated: false,
+        removed: previous.map_or_else(IndexSet::new, |previous| previous.removed.clone()),
         until_ms: quarantines.map(|q| (q.fingerprint, q.until_ms)).collect(),
         read_store_ms: stored.now_ms,
         read_ms: now_ms,
@@ -238,6 +310,7 @@
     }
     store.update(&set, &ended).await?;
     for quarantine in &set {
+        copy.removed.shift_remove(&quarantine.fingerprint);
         copy.until_ms
             .insert(quarantine.fingerprint, quarantine.until_ms);
         log::info!(
@@ -247,6 +320,10 @@
     }
     for fingerprint in &ended {
         copy.until_ms.swap_remove(fingerprint);
+        copy.removed.insert(*fingerprint);
+    }
+    while copy.removed.len() > REMOVED_MAX {
+        copy.removed.shift_remove_index(0);
     }
     Ok(())
 }
