--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -60,6 +60,15 @@
     subscribers: Vec<Sender<Update>>,
 }
 
+/// Content that results from a snapshot.
+struct Resolved {
+    rows: Rows,
+    /// Keys of the rows whose change other routers need.
+    published: IndexSet<String>,
+    /// Number of rows that stay as they were known, in place of older or missing ones.
+    kept_count: usize,
+}
+
 /// A copy of one table, with its handler and subscribers.
 pub struct Mirror {
     name: &'static str,
@@ -112,29 +121,31 @@
         state.is_unavailable = false;
         self.handler.source_available();
         let verdict = check_update(state.position, rows.position, Extent::Snapshot);
-        match verdict {
-            Verdict::Ignore | Verdict::ReadSnapshot => self.log_ignored(&state, &rows, origin),
-            Verdict::Restore => {
-                log::warn!(
-                    "event=source_restored source={} origin={origin:?} position={} known={} \
-                     rows={} known_rows={}",
-                    self.name,
-                    rows.position,
-                    known_text(state.position),
-                    rows.rows.len(),
-                    state.rows.len(),
-                );
-                self.handler.source_restored();
-                let (rows, _) = self.resolve(&state, rows);
-                state.restart(rows);
-            }
-            Verdict::Apply => {
-                let (rows, published) = self.resolve(&state, rows);
-                match state.position {
-                    None => state.restart(rows),
-                    Some(_) => state.set_next(rows, &published),
-                }
+        let is_restored = match verdict {
+            Verdict::Ignore | Verdict::ReadSnapshot => {
+                self.log_ignored(&state, &rows, origin);
+                return;
             }
+            Verdict::Apply => false,
+            Verdict::Restore => true,
+        };
+        self.handler.begin_snapshot(rows.position.era, is_restored);
+        let resolved = self.resolve(&state, rows);
+        if is_restored {
+            log::warn!(
+                "event=source_restored source={} origin={origin:?} position={} known={} rows={} \
+                 known_rows={} kept={}",
+                self.name,
+                resolved.rows.position,
+                known_text(state.position),
+                resolved.rows.rows.len(),
+                state.rows.len(),
+                resolved.kept_count,
+            );
+        }
+        match is_restored || state.position.is_none() {
+            true => state.restart(resolved.rows),
+            false => state.set_next(resolved),
         }
     }
 
@@ -165,10 +176,11 @@
     }
 
     /// Applies a snapshot through the handler. Returns the content that results, which differs from
-    /// the snapshot where something newer stays in force, and the keys of the published rows.
-    fn resolve(&self, state: &State, rows: Rows) -> (Rows, IndexSet<String>) {
+    /// the snapshot where something newer stays in force.
+    fn resolve(&self, state: &State, rows: Rows) -> Resolved {
         let effects = self.handler.replace(&rows.rows);
         let mut content = Vec::new();
+        let mut kept = Vec::new();
         let mut published = IndexSet::new();
         let mut listed = IndexSet::new();
         for (row, effect) in rows.rows.into_iter().zip(effects) {
@@ -179,20 +191,22 @@
                     content.push(row);
                 }
                 RowEffect::Skip => content.push(row),
-                RowEffect::Outdated => content.extend(state.row(&row.key)),
+                RowEffect::Outdated => kept.extend(state.row(&row.key)),
             }
         }
         let missing = state.rows.keys().filter(|key| !listed.contains(*key));
-        let kept = missing.filter(|key| self.handler.keeps_missing(key));
-        content.extend(kept.filter_map(|key| state.row(key)));
-        let position = rows.position;
-        (
-            Rows {
+        let missing = missing.filter(|key| self.handler.keeps_missing(key));
+        kept.extend(missing.filter_map(|key| state.row(key)));
+        let kept_count = kept.len();
+        content.append(&mut kept);
+        Resolved {
+            rows: Rows {
                 rows: content,
-                position,
+                position: rows.position,
             },
             published,
-        )
+            kept_count,
+        }
     }
 
     fn log_ignored(&self, state: &State, rows: &Rows, origin: Origin) {
@@ -254,7 +268,10 @@
         Some(current_row(self.rows.get_key_value(key)?))
     }
 
-    fn set_next(&mut self, rows: Rows, published: &IndexSet<String>) {
+    fn set_next(&mut self, resolved: Resolved) {
+        let Resolved {
+            rows, published, ..
+        } = resolved;
         let position = rows.position;
         let listed: IndexSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
         let is_missing = |key: &&String| !listed.contains(key.as_str());
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -37,8 +37,10 @@
         false
     }
 
-    fn source_restored(&self) {
-        self.0.lock().push("restored".to_owned());
+    fn begin_snapshot(&self, _era: Era, is_restored: bool) {
+        if is_restored {
+            self.0.lock().push("restored".to_owned());
+        }
     }
 
     fn source_available(&self) {}
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::decide::table_position::Position;
+use crate::decide::table_position::{Era, Position};
 
 /// A pending response of a source.
 pub type SourceFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
@@ -80,8 +80,9 @@
     /// Whether a snapshot is to be read from the source, although no changes were missed.
     fn take_snapshot_due(&self) -> bool;
 
-    /// Called before the first snapshot after the source came back from an older copy.
-    fn source_restored(&self);
+    /// Called before each snapshot of a source in this era; `is_restored` if it is the first one since
+    /// the source came back from an older copy.
+    fn begin_snapshot(&self, era: Era, is_restored: bool);
 
     /// Called when the source does not answer.
     fn source_unavailable(&self);
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -6,6 +6,7 @@
 
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::{Change, Registration};
+use crate::decide::table_position::Era;
 use crate::gateway::state::State;
 use crate::gateway::table::{Row, RowEffect, TableHandler};
 use crate::ids::ServerId;
@@ -82,7 +83,9 @@
         false
     }
 
-    fn source_restored(&self) {}
+    fn begin_snapshot(&self, era: Era, is_restored: bool) {
+        self.state.metrics.record_source_era(era, is_restored);
+    }
 
     fn source_unavailable(&self) {
         self.state.record_routes_source(false);
@@ -186,9 +189,11 @@
         self.state.registry.lock().take_snapshot_due(now_ms)
     }
 
-    fn source_restored(&self) {
-        let now_ms = self.state.now_ms();
-        self.state.registry.lock().on_store_restored(now_ms);
+    fn begin_snapshot(&self, _era: Era, is_restored: bool) {
+        if is_restored {
+            let now_ms = self.state.now_ms();
+            self.state.registry.lock().on_store_restored(now_ms);
+        }
     }
 
     fn source_unavailable(&self) {
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -1,9 +1,10 @@
 //! OpenTelemetry metrics of a gateway.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::decide::strikes::StrikeStatus;
+use crate::decide::table_position::Era;
 use crate::error::Result;
 use crate::observe::metrics::Exporter;
 
@@ -23,6 +24,8 @@
     streams: Counter<u64>,
     events: Counter<u64>,
     first_answer_ms: Histogram<f64>,
+    source_era: Gauge<u64>,
+    source_restores: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -56,10 +59,28 @@
                 .with_description("Time to the answer or a stream's first event in ms")
                 .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
                 .build(),
+            source_era: meter
+                .u64_gauge("gateway.source_era")
+                .with_description("Era of the source of the routes")
+                .build(),
+            source_restores: meter
+                .u64_counter("gateway.source_restores")
+                .with_description(
+                    "Times that the source of the routes came back from an older copy",
+                )
+                .build(),
             exporter,
         })
     }
 
+    /// Records the era of the source of the routes, and whether it is a new one.
+    pub fn record_source_era(&self, era: Era, is_restored: bool) {
+        if let Some(era) = era.0 {
+            self.source_era.record(era, &[]);
+        }
+        self.source_restores.add(u64::from(is_restored), &[]);
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, outcome: &'static str) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
