--- a/src/gateway/relay/table_receiver.rs
+++ b/src/gateway/relay/table_receiver.rs
@@ -1,5 +1,8 @@
 //! Applies the tables that another router sends to this router's mirrors.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use crate::decide::table_position::{Era, Extent, Position};
