Take no update of an earlier era as proof that the source answers

Cause: an update that is ignored because its sender has not noticed a restore still confirmed the routes and keys in force, and ended the record of an outage. Found by reading the code. Unit test, which failed before.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -118,8 +118,7 @@
     /// has been restored.
     pub fn replace(&self, rows: Rows, origin: Origin) {
         let mut state = self.state.lock();
-        state.is_unavailable = false;
-        self.handler.source_available();
+        self.record_available(&mut state, &rows);
         let verdict = check_update(state.position, rows.position, Extent::Snapshot);
         let is_restored = match verdict {
             Verdict::Ignore | Verdict::ReadSnapshot => {
@@ -153,8 +152,7 @@
     /// those that the handler marks for it. Returns whether a snapshot has to be read instead.
     pub fn apply(&self, rows: Rows, extent: Extent, origin: Origin) -> Verdict {
         let mut state = self.state.lock();
-        state.is_unavailable = false;
-        self.handler.source_available();
+        self.record_available(&mut state, &rows);
         let verdict = check_update(state.position, rows.position, extent);
         if verdict != Verdict::Apply {
             self.log_ignored(&state, &rows, origin);
@@ -175,6 +173,16 @@
         verdict
     }
 
+    /// Records that the source answers, unless the update is one of an earlier era: its sender has not
+    /// noticed that the source was restored.
+    fn record_available(&self, state: &mut State, rows: &Rows) {
+        let known_era = state.position.map(|known| known.era);
+        if known_era.is_none_or(|known| rows.position.era >= known) {
+            state.is_unavailable = false;
+            self.handler.source_available();
+        }
+    }
+
     /// Applies a snapshot through the handler. Returns the content that results, which differs from
     /// the snapshot where something newer stays in force.
     fn resolve(&self, state: &State, rows: Rows) -> Resolved {
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::AtomicUsize;
+
 use super::*;
 use crate::decide::table_position::Era;
 
@@ -12,7 +14,7 @@
 /// Records its calls; content that starts with a dot is not published, and content that starts with
 /// an exclamation mark is outdated.
 #[derive(Default)]
-struct RecordingHandler(Mutex<Vec<String>>);
+struct RecordingHandler(Mutex<Vec<String>>, AtomicUsize);
 
 impl TableHandler for RecordingHandler {
     fn replace(&self, rows: &[Row]) -> Vec<RowEffect> {
@@ -43,7 +45,9 @@
         }
     }
 
-    fn source_available(&self) {}
+    fn source_available(&self) {
+        self.1.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 fn at(version: u64) -> Position {
@@ -286,3 +290,17 @@
     let expected = Update::Snapshot(Arc::new(in_era(2, rows(5, &pairs))));
     assert_eq!(mirror.subscribe(None).try_recv(), Ok(expected));
 }
+
+/// Guards against routes and keys that count as confirmed because a router that has not noticed a
+/// restore goes on sending updates of the earlier era.
+#[test]
+fn apply_update_of_an_earlier_era_does_not_confirm_the_content() {
+    let (mirror, calls) = open();
+    mirror.replace(in_era(2, rows(4, &[])), Origin::Source);
+    let confirmed = calls.1.load(Ordering::Relaxed);
+    mirror.apply(rows(9, &[]), Extent::NextChanges, Origin::Relay);
+    mirror.replace(rows(9, &[]), Origin::Relay);
+    assert_eq!(calls.1.load(Ordering::Relaxed), confirmed);
+    mirror.apply(in_era(2, rows(4, &[])), Extent::NextChanges, Origin::Relay);
+    assert_eq!(calls.1.load(Ordering::Relaxed), confirmed + 1);
+}
