--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -139,11 +139,11 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of rows in an update; the platform accepts 100.
 const UPDATE_ROWS_MAX: usize = 50;
-/// Number of removed quarantines that are remembered for the case of a restore.
+/// Number of removed quarantines that are remembered for the case of a restore: several times those
+/// that a fleet has at a time.
 const REMOVED_MAX: usize = 1_024;
 /// Shortest and longest pause after a failed access.
 const RETRY_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
-
 /// Pause between two routers that compare their quarantines with a restored store, so that the later
 /// ones find what the first one has stored: routers notice a restore within a second of each other.
 const RESTORED_STEP_MS: u64 = 1_000;
--- a/src/gateway/relay/copy_tables.rs
+++ b/src/gateway/relay/copy_tables.rs
@@ -20,8 +20,8 @@
 /// that is alive responds within a few round trips; one whose host is lost does not respond.
 const COPY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Asks all other seeds for the tables, and returns when one has sent them, none has them, or the
-/// time-out has passed.
+/// Asks all other seeds for the tables, and returns when each has answered or failed, or the time-out
+/// has passed. Tables that arrive are in force at once.
 pub(super) async fn copy_from_seeds(relay: Arc<Relay>) {
     let relay = &relay;
     let own = relay.settings.listen;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -68,7 +68,9 @@
     // Nothing is sent; the error says that the channel has closed.
     let _ = timing.start.recv().await;
     let mut failures = 0;
+    // Changes were missed, or cannot be applied.
     let mut needs_snapshot = false;
+    // The handler wants to compare its state with a snapshot; also while the table is relayed.
     let mut is_snapshot_due = false;
     loop {
         is_snapshot_due |= mirror.take_snapshot_due();
@@ -123,6 +125,7 @@
                         mirror.name()
                     );
                 }
+                // While another router relays the table, subscribers go on receiving it.
                 if !mirror.is_relayed() {
                     mirror.mark_unavailable();
                 }
