Decode what servers say of their leaving and of a pause, and log it

Logs could not tell whether a response had announced the server's leaving or asked for a pause, and so not whether the headers are unread or the belief was undone. They are decoded into one type beside load and not-run statements, and logged with the request, the server and its incarnation. Nothing acts on them yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use crate::decide::registry::Registration;
 use crate::edge::clock::Clock;
 use crate::gateway::prompts_in_flight::PromptGuard;
-use crate::gateway::protocol::{AttemptHead, ResponseHead};
+use crate::gateway::protocol::{AttemptHead, LoadReport, ResponseHead};
 use crate::gateway::reachability::{LastActivity, while_reachable};
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
@@ -298,7 +298,7 @@
         .backends
         .decode(&routed.id, head.status, &head.headers);
     // A server that declines a request reports its load, too.
-    record_load(state, server, &response_head);
+    record_notice(state, routed, server, &response_head);
     validate_response(&response_head, &head.headers)?;
     let is_event_stream = routed.route.is_stream && head.status.is_success();
     let body = match is_event_stream {
@@ -379,7 +379,7 @@
             "another server answered at the address",
         );
     }
-    if response_head.is_not_run {
+    if response_head.notice.is_not_run {
         return failed(FailureKind::NotRun, "the server did not run it");
     }
     if !response_head.has_matching_id {
@@ -403,10 +403,33 @@
     Ok(())
 }
 
-fn record_load(state: &State, server: &Registration, response_head: &ResponseHead) {
-    let Some(load) = response_head.load.filter(|_| !response_head.is_misdirected) else {
+/// Records what the server says of itself. Responses of another server say nothing about it.
+fn record_notice(
+    state: &State,
+    routed: &RoutedRequest,
+    server: &Registration,
+    response_head: &ResponseHead,
+) {
+    if response_head.is_misdirected {
         return;
-    };
+    }
+    let notice = &response_head.notice;
+    if notice.is_leaving || notice.pause_ms.is_some() {
+        log::info!(
+            "event=server_notice id={} server={} incarnation={} leaving={} pause_ms={}",
+            routed.id,
+            server.id,
+            server.incarnation,
+            notice.is_leaving,
+            notice.pause_ms.unwrap_or(0),
+        );
+    }
+    if let Some(load) = notice.load {
+        record_load(state, server, load);
+    }
+}
+
+fn record_load(state: &State, server: &Registration, load: LoadReport) {
     let report = Report {
         incarnation: server.incarnation,
         held: load.running + load.waiting,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -82,20 +82,31 @@
     pub slots: u32,
 }
 
+/// What a server says of itself in the head of a response.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Whether it states that it did not run the request.
+    pub is_not_run: bool,
+    /// Whether it is about to stop and wants no new requests.
+    pub is_leaving: bool,
+    /// Time in ms for which it wants no requests from this router, if it states one.
+    pub pause_ms: Option<u64>,
+    /// Its load, if it reports one.
+    pub load: Option<LoadReport>,
+}
+
 /// Decoded headers of a server's response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// Whether the response has the id of this request.
     pub has_matching_id: bool,
-    /// Whether the server states that it did not run the request.
-    pub is_not_run: bool,
+    /// What the server says of itself.
+    pub notice: ServerNotice,
     /// Whether another server answered at the address.
     pub is_misdirected: bool,
     /// Whether the response is signed by a server, and its head is complete as far as the
     /// signature shows.
     pub is_signed: bool,
-    /// The server's load, if it reported one.
-    pub load: Option<LoadReport>,
     /// How long the server keeps an idle connection open, if it states it.
     pub keep_alive: Option<Duration>,
 }
