--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -27,6 +27,8 @@
     NotRun,
     /// Like `NotRun`, and reports in `x-server-load` that all slots are in use.
     AtCapacity,
+    /// Like `NotRun`, with this value of `retry-after`.
+    Pause(&'static str),
     /// Runs the request, then closes the connection without a response.
     ResponseLost,
     /// Runs the request and responds with status 500.
@@ -80,6 +82,8 @@
     runs: Vec<Run>,
     queued_faults: VecDeque<Fault>,
     declined: usize,
+    arrivals: Vec<Instant>,
+    is_leaving: bool,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
@@ -198,6 +202,17 @@
         self.state.lock().declined
     }
 
+    /// Number of requests that arrived after `instant`, declined ones included.
+    pub fn arrivals_after(&self, instant: Instant) -> usize {
+        let state = self.state.lock();
+        state.arrivals.iter().filter(|at| **at > instant).count()
+    }
+
+    /// Sets whether the server announces in all its responses that it is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.lock().is_leaving = is_leaving;
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -224,6 +239,16 @@
 }
 
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
+    let state = Arc::clone(&incarnation.state);
+    let response = respond(incarnation, request).await;
+    let is_leaving = state.lock().is_leaving;
+    match is_leaving {
+        true => with_header(response, "server-leaving", "1"),
+        false => response,
+    }
+}
+
+async fn respond(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let Incarnation {
         id, state, stop, ..
     } = incarnation;
@@ -239,8 +264,12 @@
             &id,
         );
     }
+    state.lock().arrivals.push(Instant::now());
     let fault = state.lock().queued_faults.pop_front();
-    if matches!(fault, Some(Fault::NotRun | Fault::AtCapacity)) {
+    if matches!(
+        fault,
+        Some(Fault::NotRun | Fault::AtCapacity | Fault::Pause(_))
+    ) {
         state.lock().declined += 1;
         let declined = with_header(
             response(StatusCode::SERVICE_UNAVAILABLE, ""),
@@ -249,6 +278,7 @@
         );
         return match fault {
             Some(Fault::AtCapacity) => with_header(declined, "x-server-load", LOAD_AT_CAPACITY),
+            Some(Fault::Pause(retry_after)) => with_header(declined, "retry-after", retry_after),
             _ => declined,
         };
     }
