Send nothing new to servers that announce their leaving in responses

Callers' requests reached a server after an answer had told the router that the server leaves (DRAIN). Cause: the header was not read; leaving was known from the server's row alone, which may come late, not at all, or from an older copy.

The registry now holds both sources. An announcement in a response is final for the incarnation that the request was sent to: heartbeats, a row that lapsed and came back and a restored copy change nothing, a higher incarnation starts free, and shared parts are no longer fetched from the server. The row's own change is still recorded, so that it is passed on to other routers.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -1,7 +1,8 @@
 //! Registry of the backend servers, which register themselves in the platform's store.
 //!
 //! Rows of live servers may expire while the store is down, rows may be outdated, and a
-//! restarted server may register again under the same id with a higher incarnation.
+//! restarted server may register again under the same id with a higher incarnation. A server
+//! announces its leaving in its row, its responses, or both; either is final for its incarnation.
 
 #[cfg(test)]
 mod tests;
@@ -75,13 +76,45 @@
     expires_at_ms: Option<u64>,
     /// Whether another server responded at this server's address.
     is_misdirected: bool,
+    /// Whether the server announced its leaving in a response.
+    has_announced_leaving: bool,
     joined_ms: u64,
 }
 
 impl Entry {
     fn is_usable(&self, now_ms: u64) -> bool {
         let has_expired = self.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
-        !self.registration.is_leaving && !self.is_misdirected && !has_expired
+        !self.is_leaving() && !self.is_misdirected && !has_expired
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.registration.is_leaving || self.has_announced_leaving
+    }
+}
+
+/// A server that has left.
+#[derive(Debug, Clone, Copy)]
+struct Departed {
+    incarnation: Incarnation,
+    has_announced_leaving: bool,
+}
+
+/// Where a server's leaving is known from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// The server's row.
+    Row,
+    /// A response of the server.
+    Response,
+}
+
+impl LeavingSource {
+    /// Name in the state dump.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Row => "row",
+            Self::Response => "response",
+        }
     }
 }
 
@@ -92,8 +125,8 @@
     store_lost_ms: Option<u64>,
     /// End of the last outage of the store in which rows of live servers may have expired.
     store_recovered_ms: Option<u64>,
-    /// Incarnations of the servers that have left, the last one last.
-    left: IndexMap<ServerId, Incarnation>,
+    /// The servers that have left, the last one last.
+    left: IndexMap<ServerId, Departed>,
     /// End of the time for which rows of servers that have left are doubted.
     doubted_until_ms: Option<u64>,
     /// Whether a snapshot listed servers that are not used because their rows are doubted.
@@ -104,11 +137,13 @@
     /// Applies a server's row.
     pub fn set(&mut self, new: Registration, now_ms: u64) -> Change {
         let Some(entry) = self.entries.get_mut(&new.id) else {
-            let change = match new.is_leaving {
-                true => Change::None,
-                false => Change::Joined,
+            let has_announced_leaving = self.has_announced_leaving(&new);
+            let change = match (new.is_leaving, has_announced_leaving) {
+                (true, _) => Change::None,
+                (false, true) => Change::Returned,
+                (false, false) => Change::Joined,
             };
-            self.insert(new, now_ms);
+            self.insert(new, has_announced_leaving, now_ms);
             return change;
         };
         let known = &entry.registration;
@@ -117,7 +152,9 @@
         }
         let is_restart = new.incarnation > known.incarnation || new.address != known.address;
         if is_restart {
-            self.insert(new, now_ms);
+            let has_announced_leaving =
+                entry.has_announced_leaving && new.incarnation == known.incarnation;
+            self.insert(new, has_announced_leaving, now_ms);
             return Change::Joined;
         }
         let has_returned = entry.expires_at_ms.take().is_some();
@@ -132,12 +169,21 @@
         }
     }
 
-    fn insert(&mut self, registration: Registration, now_ms: u64) {
+    /// Whether a server that has left had announced it in this incarnation or a later one.
+    fn has_announced_leaving(&self, registration: &Registration) -> bool {
+        let departed = self.left.get(&registration.id);
+        departed.is_some_and(|departed| {
+            departed.has_announced_leaving && registration.incarnation <= departed.incarnation
+        })
+    }
+
+    fn insert(&mut self, registration: Registration, has_announced_leaving: bool, now_ms: u64) {
         self.left.shift_remove(&registration.id);
         let entry = Entry {
             registration,
             expires_at_ms: None,
             is_misdirected: false,
+            has_announced_leaving,
             joined_ms: now_ms,
         };
         self.entries.insert(entry.registration.id.clone(), entry);
@@ -152,6 +198,10 @@
             self.drop_entry(id);
             return Change::None;
         }
+        if entry.has_announced_leaving {
+            self.drop_entry(id);
+            return Change::Left;
+        }
         let expires_at_ms = self
             .store_recovered_ms
             .map(|recovered_ms| recovered_ms + REREGISTRATION_MS);
@@ -171,13 +221,53 @@
         let Some(entry) = self.entries.shift_remove(id) else {
             return;
         };
-        let incarnation = entry.registration.incarnation;
-        self.left.insert(id.clone(), incarnation);
+        let departed = Departed {
+            incarnation: entry.registration.incarnation,
+            has_announced_leaving: entry.has_announced_leaving,
+        };
+        self.record_departed(id, departed);
+    }
+
+    fn record_departed(&mut self, id: &ServerId, departed: Departed) {
+        self.left.insert(id.clone(), departed);
         if self.left.len() > LEFT_MAX {
             self.left.shift_remove_index(0);
         }
     }
 
+    /// Records that a server announced its leaving in a response to a request that was sent to this
+    /// incarnation; returns whether that is new. A server that has restarted since is not affected.
+    pub fn record_announced_leaving(&mut self, id: &ServerId, incarnation: Incarnation) -> bool {
+        if let Some(entry) = self.entries.get_mut(id) {
+            let is_new =
+                entry.registration.incarnation == incarnation && !entry.has_announced_leaving;
+            entry.has_announced_leaving |= is_new;
+            return is_new;
+        }
+        let departed = self.left.get(id);
+        let is_new = departed.is_none_or(|departed| {
+            departed.incarnation <= incarnation && !departed.has_announced_leaving
+        });
+        if is_new {
+            let departed = Departed {
+                incarnation,
+                has_announced_leaving: true,
+            };
+            self.record_departed(id, departed);
+        }
+        is_new
+    }
+
+    /// Where a known server's leaving is known from; `None` if it is not leaving.
+    pub fn leaving_source(&self, id: &ServerId) -> Option<LeavingSource> {
+        let entry = self.entries.get(id)?;
+        match (entry.registration.is_leaving, entry.has_announced_leaving) {
+            (true, _) => Some(LeavingSource::Row),
+            (false, true) => Some(LeavingSource::Response),
+            (false, false) => None,
+        }
+    }
+
     /// Applies a snapshot of all rows: the row of each server that is not in it counts as
     /// removed. A server whose row is unreadable keeps its known state.
     pub fn replace(
@@ -215,7 +305,7 @@
     fn is_doubted(&self, row: &Registration, now_ms: u64) -> bool {
         let is_doubtful_time = self.doubted_until_ms.is_some_and(|until| now_ms < until);
         let left = self.left.get(&row.id);
-        is_doubtful_time && left.is_some_and(|incarnation| row.incarnation <= *incarnation)
+        is_doubtful_time && left.is_some_and(|departed| row.incarnation <= departed.incarnation)
     }
 
     /// Whether a snapshot is due in which rows that were doubted count again: their servers would
@@ -289,9 +379,10 @@
     }
 
     /// Address of a known server, whether or not it accepts new requests; none if another server
-    /// responded there.
+    /// responded there, or if it announced its leaving in a response.
     pub fn address(&self, id: &ServerId) -> Option<SocketAddr> {
-        let entry = self.entries.get(id).filter(|entry| !entry.is_misdirected)?;
+        let is_serving = |entry: &&Entry| !entry.is_misdirected && !entry.has_announced_leaving;
+        let entry = self.entries.get(id).filter(is_serving)?;
         Some(entry.registration.address)
     }
 
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -180,3 +180,49 @@
     registry.replace(vec![row("a", 5, 1)], &[], 15_000);
     assert_eq!(usable(&registry), ["a"]);
 }
+
+/// Guards against requests to a server that announced its leaving in a response, after any row of
+/// the same incarnation: a heartbeat, a row at another address, one that lapsed and came back.
+#[test]
+fn record_announced_leaving_is_final_for_the_incarnation() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 1, 1), 0);
+    assert!(registry.record_announced_leaving(&"a".into(), Incarnation(1)));
+    assert!(!registry.record_announced_leaving(&"a".into(), Incarnation(1)));
+    assert!(usable(&registry).is_empty());
+    assert_eq!(registry.address(&"a".into()), None);
+    registry.set(row("a", 1, 2), 1);
+    let mut moved = row("a", 1, 3);
+    moved.address.set_port(9);
+    registry.set(moved, 2);
+    assert!(usable(&registry).is_empty());
+    assert_eq!(registry.remove(&"a".into(), 3), Change::Left);
+    assert_eq!(registry.set(row("a", 1, 4), 4), Change::Returned);
+    assert!(usable(&registry).is_empty());
+    let source = registry.leaving_source(&"a".into());
+    assert_eq!(source, Some(LeavingSource::Response));
+    assert_eq!(registry.set(row("a", 2, 1), 5), Change::Joined);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+/// Guards against a late response of an earlier incarnation that takes the server out, and against
+/// an announcement that is lost because the row was removed before the response arrived.
+#[test]
+fn record_announced_leaving_holds_for_the_incarnation_that_was_asked() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 2, 1), 0);
+    assert!(!registry.record_announced_leaving(&"a".into(), Incarnation(1)));
+    assert_eq!(usable(&registry), ["a"]);
+    assert!(registry.record_announced_leaving(&"b".into(), Incarnation(1)));
+    registry.set(row("b", 1, 7), 1);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+/// Guards against a row that says the same as the response and is not passed on to other routers.
+#[test]
+fn record_announced_leaving_does_not_hide_the_change_of_the_row() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 1, 1), 0);
+    registry.record_announced_leaving(&"a".into(), Incarnation(1));
+    assert_eq!(registry.set(leaving("a", 1, 2), 1), Change::Left);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -414,15 +414,8 @@
         return;
     }
     let notice = &response_head.notice;
-    if notice.is_leaving || notice.pause_ms.is_some() {
-        log::info!(
-            "event=server_notice id={} server={} incarnation={} leaving={} pause_ms={}",
-            routed.id,
-            server.id,
-            server.incarnation,
-            notice.is_leaving,
-            notice.pause_ms.unwrap_or(0),
-        );
+    if notice.is_leaving {
+        state.record_leaving(server, &routed.id);
     }
     if let Some(load) = notice.load {
         record_load(state, server, load);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -391,6 +391,7 @@
                     "address": server.address,
                     "zone": server.zone,
                     "is_leaving": server.is_leaving,
+                    "leaving_source": registry.leaving_source(&server.id).map(|s| s.as_str()),
                     "incarnation": server.incarnation,
                     "is_reachable": self.reachability.is_reachable(&server.id),
                     "own_requests": self.load.own_requests(&server.id),
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -6,7 +6,7 @@
 use crate::decide::strikes::Incarnation;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::state::State;
-use crate::ids::{ServerId, ServiceId};
+use crate::ids::{RequestId, ServerId, ServiceId};
 
 impl State {
     /// Servers of a service that accept requests.
@@ -26,13 +26,28 @@
     pub fn servers_nearby(&self, server: &Registration) -> Vec<Registration> {
         let registry = self.registry.lock();
         let nearby = registry.all().filter(|other| {
-            other.zone == server.zone && other.address != server.address && !other.is_leaving
+            other.zone == server.zone
+                && other.address != server.address
+                && registry.leaving_source(&other.id).is_none()
         });
         let mut nearby: Vec<Registration> = nearby.cloned().collect();
         nearby.sort_by_key(|other| Reverse(self.reachability.active_ms(&other.id)));
         nearby
     }
 
+    /// Records that a server announced its leaving in the response to the request `id`.
+    pub fn record_leaving(&self, server: &Registration, id: &RequestId) {
+        let mut registry = self.registry.lock();
+        if registry.record_announced_leaving(&server.id, server.incarnation) {
+            log::info!(
+                "event=server_leaving server={} incarnation={} source=response id={id}",
+                server.id,
+                server.incarnation,
+            );
+            self.metrics.count_notice("leaving");
+        }
+    }
+
     /// Records that another server answers at this server's address.
     pub fn record_misdirected(&self, server: &ServerId) {
         log::warn!("event=server_misdirected server={server}");
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -20,6 +20,7 @@
     exporter: Exporter,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    notices: Counter<u64>,
     strikes: Counter<u64>,
     streams: Counter<u64>,
     events: Counter<u64>,
@@ -42,6 +43,10 @@
                 .u64_counter("gateway.attempts")
                 .with_description("Attempts on backend servers by result")
                 .build(),
+            notices: meter
+                .u64_counter("gateway.server_notices")
+                .with_description("Announcements of backend servers in responses, by kind")
+                .build(),
             strikes: meter
                 .u64_counter("gateway.strikes")
                 .with_description("Crashes of servers under a request, by its status afterwards")
@@ -96,6 +101,11 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts an announcement that a backend server made in a response.
+    pub fn count_notice(&self, kind: &'static str) {
+        self.notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a crash of a server under a request.
     pub fn count_strike(&self, status: StrikeStatus) {
         self.strikes
