Ask again whether a server accepts requests right before writing one

The pool now asks before each write, the one on a replaced connection too; the request has not run then, costs no retry of the budget and is placed again.

Class of fault: a decision that is right when it is made and old when it is carried out. Test: the pool opens a connection, the answer changes, and no byte arrives.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -213,7 +213,7 @@
     let sent = app.pool.send(address, request).await;
     sent.map_err(|error| match error {
         SendError::NotSent(reason) => AttemptError::not_sent(reason),
-        SendError::ConnectionLimit => AttemptError::not_sent(error),
+        SendError::ConnectionLimit | SendError::Withheld => AttemptError::not_sent(error),
         SendError::Broken(reason) => AttemptError::unknown(FailureKind::Broken, reason),
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,6 +39,8 @@
     Connect,
     /// The server accepts no further connections.
     ConnectionLimit,
+    /// The server announced its leaving, or asked for a pause, before the request was written.
+    Withheld,
     /// The server stopped responding and can no longer be reached.
     Silent,
     /// The connection broke after the request was sent.
@@ -60,6 +62,7 @@
             Self::Connect => "connect",
             // Logs and metrics keep the label `crowded`.
             Self::ConnectionLimit => "crowded",
+            Self::Withheld => "withheld",
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
@@ -72,16 +75,18 @@
     /// Whether the server may have run the request.
     pub fn run_state(self) -> RunState {
         match self {
-            Self::Connect | Self::ConnectionLimit | Self::NotRun | Self::Misdirected => {
-                RunState::NotRun
-            }
+            Self::Connect
+            | Self::ConnectionLimit
+            | Self::Withheld
+            | Self::NotRun
+            | Self::Misdirected => RunState::NotRun,
             Self::Silent | Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
         }
     }
 
     /// Whether the request may have been delivered to a server.
     pub fn is_delivered(self) -> bool {
-        !matches!(self, Self::Connect | Self::ConnectionLimit)
+        !matches!(self, Self::Connect | Self::ConnectionLimit | Self::Withheld)
     }
 }
 
@@ -282,7 +287,10 @@
     let started_ms = state.now_ms();
     let last_activity = state.reachability.last_activity(&server.id);
     let unreachable = |_| Failure::new(FailureKind::Silent, "the server can no longer be reached");
-    let sending = with_timeout(first, state.pool.send(server.address, request));
+    let sending = with_timeout(first, {
+        let may_send = || state.accepts_requests(server);
+        state.pool.send_if(server.address, request, may_send)
+    });
     let outcome = while_reachable(state, server, sending)
         .await
         .map_err(unreachable)?;
@@ -291,6 +299,7 @@
         .map_err(|error| match error {
             SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
             SendError::ConnectionLimit => Failure::new(FailureKind::ConnectionLimit, error),
+            SendError::Withheld => Failure::new(FailureKind::Withheld, error),
             SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
         })?;
     last_activity.record(state.now_ms());
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -361,6 +361,10 @@
         history.possible_runs += 1;
     }
     let now_ms = state.now_ms();
+    let is_not_run = failure.kind.run_state() == RunState::NotRun;
+    if is_not_run && state.reachability.pause_end_ms(server, now_ms).is_some() {
+        history.paused.push(server.id.clone());
+    }
     match failure.kind {
         FailureKind::Connect => {
             state.pool.close_idle(server.address);
@@ -375,10 +379,8 @@
         }
         FailureKind::ConnectionLimit | FailureKind::NotRun => {
             state.reachability.record_refusal(&server.id, now_ms);
-            if state.reachability.pause_end_ms(server, now_ms).is_some() {
-                history.paused.push(server.id.clone());
-            }
         }
+        FailureKind::Withheld => {}
         FailureKind::Misdirected => state.record_misdirected(&server.id),
         // The probe that detected the failure has recorded it.
         FailureKind::Silent => {}
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -71,7 +71,8 @@
 pub struct AttemptHistory {
     /// Server of each attempt, in order.
     pub servers: Vec<ServerId>,
-    /// Servers that declined an attempt and asked for a pause, after which they may be tried again.
+    /// Servers that did not run an attempt since they had asked for a pause, after which they may be
+    /// tried again.
     pub paused: Vec<ServerId>,
     /// Number of attempts whose server may have run the request.
     pub possible_runs: u32,
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -32,6 +32,18 @@
         self.registry.lock().get(server, self.now_ms()).cloned()
     }
 
+    /// Whether a server still accepts requests, as the same incarnation at the same address.
+    pub fn accepts_requests(&self, server: &Registration) -> bool {
+        let now_ms = self.now_ms();
+        let is_pausing = self.reachability.pause_end_ms(server, now_ms).is_some();
+        let registry = self.registry.lock();
+        let current = registry.get(&server.id, now_ms);
+        !is_pausing
+            && current.is_some_and(|current| {
+                current.incarnation == server.incarnation && current.address == server.address
+            })
+    }
+
     /// Other servers of the same availability zone, of any service, those first that were active
     /// last.
     pub fn servers_nearby(&self, server: &Registration) -> Vec<Registration> {
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -73,6 +73,9 @@
     /// has reached its connection limit.
     #[error("the server accepts no further connection")]
     ConnectionLimit,
+    /// No byte of the request was written, since it may no longer be sent.
+    #[error("the server no longer accepts requests")]
+    Withheld,
     /// The connection failed after a part of the request may have been written.
     #[error("{0}")]
     Broken(#[from] hyper::Error),
@@ -187,11 +190,29 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        self.send_if(address, request, || true).await
+    }
+
+    /// Like `send`, but asks `may_send` each time before the request is written: what allowed it may
+    /// have changed while a connection was opened.
+    pub async fn send_if<M>(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        may_send: M,
+    ) -> Result<(Response<Incoming>, Connection), SendError>
+    where
+        M: Fn() -> bool,
+    {
         let not_connected = |error: io::Error| match error.kind() {
             io::ErrorKind::ConnectionAborted => SendError::ConnectionLimit,
             _ => SendError::NotSent(format!("connect: {error}")),
         };
         let mut connection = self.acquire(address).await.map_err(not_connected)?;
+        if !may_send() {
+            self.release(address, connection);
+            return Err(SendError::Withheld);
+        }
         let mut error = match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(error) => error,
@@ -200,6 +221,10 @@
             return Err(error.into_error().into());
         };
         let mut connection = self.connect(address).await.map_err(not_connected)?;
+        if !may_send() {
+            self.release(address, connection);
+            return Err(SendError::Withheld);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
--- a/src/http/pool/tests.rs
+++ b/src/http/pool/tests.rs
@@ -78,3 +78,31 @@
     server.join().expect("the server ends");
     assert_eq!(error.kind(), io::ErrorKind::ConnectionAborted);
 }
+
+/// Guards against a request that is written to a server which announced its leaving, or asked for a
+/// pause, while the connection to it was opened.
+#[test]
+fn send_if_asks_after_the_connection_is_open() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (connected, is_connected) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a connection");
+        connected.send(()).expect("the test continues");
+        let mut received = Vec::new();
+        connection.read_to_end(&mut received).expect("an end");
+        received
+    });
+    let runtime = Runtime::start(1);
+    let pool = Pool::open(runtime.clone(), Duration::from_secs(5));
+    let request = Request::new(Full::new(Bytes::from_static(b"body")));
+    let may_send = || {
+        is_connected.recv().expect("the connection is open");
+        false
+    };
+    let sent = smol::block_on(pool.send_if(address, request, may_send));
+    assert!(matches!(sent, Err(SendError::Withheld)), "{:?}", sent.err());
+    pool.close_idle(address);
+    let received = server.join().expect("the server ends");
+    assert_eq!(received, b"");
+}
