--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use crate::decide::registry::Registration;
 use crate::edge::clock::Clock;
 use crate::gateway::prompts_in_flight::PromptGuard;
-use crate::gateway::protocol::{AttemptHead, LoadReport, ResponseHead};
+use crate::gateway::protocol::{AttemptHead, LimitNotice, LoadReport, ResponseHead};
 use crate::gateway::reachability::{LastActivity, while_reachable};
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
@@ -427,6 +427,14 @@
     if notice.is_leaving {
         state.record_leaving(server, &routed.id);
     }
+    if let LimitNotice::PerSecond(limit_per_s) = notice.limit {
+        log::debug!(
+            "event=server_limit id={} server={} incarnation={} limit_per_s={limit_per_s}",
+            routed.id,
+            server.id,
+            server.incarnation,
+        );
+    }
     // A pause of 0 is a refusal without a pause.
     if let Some(pause_ms) = notice.pause_ms.filter(|pause_ms| *pause_ms > 0) {
         state.metrics.count_notice("pause");
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -82,6 +82,18 @@
     pub slots: u32,
 }
 
+/// What a response says of a limit on the requests that its server takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitNotice {
+    /// It names no limit.
+    #[default]
+    Absent,
+    /// Requests a second that the server takes from all routers together.
+    PerSecond(f64),
+    /// It names a limit that cannot be read, so that the one named before holds.
+    Unreadable,
+}
+
 /// What a server says of itself in the head of a response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ServerNotice {
@@ -91,6 +103,8 @@
     pub is_leaving: bool,
     /// Time in ms for which it wants no requests from this router, if it states one.
     pub pause_ms: Option<u64>,
+    /// Whether it limits the requests that it takes.
+    pub limit: LimitNotice,
     /// Its load, if it reports one.
     pub load: Option<LoadReport>,
 }
