--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -84,6 +84,7 @@
     declined: usize,
     arrivals: Vec<Instant>,
     is_leaving: bool,
+    limit: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
@@ -202,6 +203,11 @@
         self.state.lock().declined
     }
 
+    /// Times at which requests arrived, declined ones included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// Number of requests that arrived after `instant`, declined ones included.
     pub fn arrivals_after(&self, instant: Instant) -> usize {
         self.arrivals_between(instant, Instant::now())
@@ -219,6 +225,11 @@
         self.state.lock().is_leaving = is_leaving;
     }
 
+    /// Sets the limit that the server names in its successful responses; none at first.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.state.lock().limit = limit.map(str::to_owned);
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -247,10 +258,17 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
-    let is_leaving = state.lock().is_leaving;
-    match is_leaving {
+    let (is_leaving, limit) = {
+        let state = state.lock();
+        (state.is_leaving, state.limit.clone())
+    };
+    let response = match is_leaving {
         true => with_header(response, "server-leaving", "1"),
         false => response,
+    };
+    match limit.filter(|_| response.status().is_success()) {
+        Some(limit) => with_header(response, "server-limit", &limit),
+        None => response,
     }
 }
 
