Keep to the limits that servers name, over all routers together

Cause: the header was not read, and no quantity was divided over the fleet more finely than by the number of routers, which with whole requests exceeds a limit of two a second at 75 routers.

A limit now has as many senders as it feeds with whole requests; the other routers use other servers. Each router knows its number among all, which the routers of the relay tree give to those below them in the messages with counts, and derives the senders of each server from it, so that nothing is exchanged for a request. A sender has an equal share and a burst of one request, which starts empty when places change: at most 5 L + 3 in 4 s of the allowed 6 L + 5. Routers without a place have a small share. Limits, their changes and their ends are passed on over the relay; the later word holds, and a response without a limit lifts it only if its request was sent after a limit was last named. A server at its limit is no candidate; if all are, the request is rejected at once.

--- a/src/decide/fleet_counts.rs
+++ b/src/decide/fleet_counts.rs
@@ -29,6 +29,8 @@
     counts: Counts,
     /// Number of routers whose requests the counts include.
     routers: u32,
+    /// Whether the routers of the link have lower numbers than this one.
+    is_before: bool,
 }
 
 /// Counts received over each open link.
@@ -36,6 +38,10 @@
 pub struct FleetCounts {
     links: IndexMap<u64, Link>,
     last_link: u64,
+    /// Whether this router numbers those below it without a router above.
+    is_root: bool,
+    /// Number of this router as received over a link, and that link.
+    index_from: Option<(u64, u32)>,
 }
 
 impl FleetCounts {
@@ -46,11 +52,59 @@
             scope,
             counts: Counts::new(),
             routers: 1,
+            is_before: false,
         };
         self.links.insert(self.last_link, link);
         self.last_link
     }
 
+    /// Makes this router one of the roots, which number the routers of the fleet.
+    pub fn set_root(&mut self) {
+        self.is_root = true;
+    }
+
+    /// Records that the routers of another root's group have lower numbers than those of this one.
+    pub fn set_before(&mut self, link: u64) {
+        if let Some(link) = self.links.get_mut(&link) {
+            link.is_before = true;
+        }
+    }
+
+    /// Sets the number of this router, as received over a link.
+    pub fn set_index(&mut self, link: u64, index: u32) {
+        self.index_from = Some((link, index));
+    }
+
+    /// Number of this router among all routers, from 0; `None` while it is not known. Each router
+    /// numbers those below it.
+    ///
+    /// ```
+    /// use jujubeusher::decide::fleet_counts::{FleetCounts, Scope};
+    /// let mut fleet = FleetCounts::default();
+    /// assert_eq!(fleet.index(), None);
+    /// fleet.set_root();
+    /// let (first, second) = (fleet.open_link(Scope::Subtree), fleet.open_link(Scope::Subtree));
+    /// fleet.set_router_count(first, 3);
+    /// assert_eq!((fleet.index(), fleet.index_below(second)), (Some(0), Some(4)));
+    /// ```
+    pub fn index(&self) -> Option<u32> {
+        let before = self.links.values().filter(|link| link.is_before);
+        match self.is_root {
+            true => Some(before.map(|link| link.routers).sum()),
+            false => self.index_from.map(|(_, index)| index),
+        }
+    }
+
+    /// Number of the router at the other end of a link below this one.
+    pub fn index_below(&self, link: u64) -> Option<u32> {
+        let earlier = self
+            .links
+            .iter()
+            .filter(|(id, other)| other.scope == Scope::Subtree && **id < link);
+        let earlier: u32 = earlier.map(|(_, other)| other.routers).sum();
+        Some(self.index()? + 1 + earlier)
+    }
+
     /// Applies the changed counts of a link; a count of 0 removes the server. Counts for a closed
     /// link are ignored.
     pub fn apply<I>(&mut self, link: u64, changed: I)
@@ -103,6 +157,7 @@
     /// Removes a link and the counts received over it.
     pub fn close_link(&mut self, link: u64) {
         self.links.shift_remove(&link);
+        self.index_from = self.index_from.filter(|(from, _)| *from != link);
     }
 
     /// Requests of this router and of those below it, to be sent to the router that relays to this
--- a/src/decide/fleet_counts/tests.rs
+++ b/src/decide/fleet_counts/tests.rs
@@ -109,3 +109,43 @@
         (3, 4)
     );
 }
+
+/// Guards against two routers with the same number, which would both use the share of one of them.
+#[test]
+fn index_is_unique_among_two_groups() {
+    let mut roots = [FleetCounts::default(), FleetCounts::default()];
+    roots.iter_mut().for_each(FleetCounts::set_root);
+    let mut indexes = Vec::new();
+    let subtrees = [vec![1, 3, 1], vec![2, 2]];
+    let sizes: Vec<u32> = subtrees.iter().map(|s| 1 + s.iter().sum::<u32>()).collect();
+    for (group, root) in roots.iter_mut().enumerate() {
+        let other = root.open_link(Scope::Group);
+        root.set_router_count(other, sizes[1 - group]);
+        if group == 1 {
+            root.set_before(other);
+        }
+        indexes.extend(root.index());
+        for size in &subtrees[group] {
+            let link = root.open_link(Scope::Subtree);
+            root.set_router_count(link, *size);
+        }
+        let links = root.links.keys().copied().collect::<Vec<_>>();
+        for (link, size) in links.into_iter().skip(1).zip(&subtrees[group]) {
+            let first = root.index_below(link).unwrap();
+            indexes.extend(first..first + size);
+        }
+    }
+    indexes.sort_unstable();
+    assert_eq!(indexes, (0..sizes.iter().sum()).collect::<Vec<_>>());
+}
+
+/// Guards against a router that keeps its number after the link that gave it has ended.
+#[test]
+fn index_ends_with_the_link_that_gave_it() {
+    let mut fleet = FleetCounts::default();
+    let link = fleet.open_link(Scope::Fleet);
+    fleet.set_index(link, 4);
+    assert_eq!(fleet.index(), Some(4));
+    fleet.close_link(link);
+    assert_eq!(fleet.index(), None);
+}
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -1,5 +1,5 @@
 //! Health of backend servers as observed by a router's own traffic: failed connections,
-//! refusals, pauses that servers ask for, and failed requests.
+//! refusals, pauses that servers ask for, limits that they name, and failed requests.
 
 #[cfg(test)]
 mod tests;
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::decide::pause::Pause;
+use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room, ServerLimit};
 use crate::ids::{Incarnation, ServerId};
 
 /// Time between probes of an unreachable server. A connection costs little, and a server that
@@ -40,6 +41,7 @@
     penalty_until_ms: u64,
     penalties: u32,
     pause: Option<Pause>,
+    limit: Option<ServerLimit>,
 }
 
 /// Observed health of all servers; a server without observations counts as healthy.
@@ -117,6 +119,81 @@
         entry.pause?.end_ms(incarnation, now_ms)
     }
 
+    /// Records what a response said of a server's limit at `as_of_ms`. A response without a limit
+    /// says nothing new about a server that named none.
+    ///
+    /// ```
+    /// use jujubeusher::decide::health::ServerHealth;
+    /// use jujubeusher::decide::server_limit::{Effect, LimitUpdate};
+    /// use jujubeusher::ids::{Incarnation, ServerId};
+    /// let mut health = ServerHealth::default();
+    /// let mut update = LimitUpdate {
+    ///     server: ServerId::from("a"),
+    ///     incarnation: Incarnation(1),
+    ///     limit_per_s: None,
+    ///     age_ms: 0,
+    /// };
+    /// assert_eq!(health.record_limit(&update, 100), Effect::None);
+    /// update.limit_per_s = Some(2.0);
+    /// assert_eq!(health.record_limit(&update, 200), Effect::Changed);
+    /// ```
+    pub fn record_limit(&mut self, update: &LimitUpdate, as_of_ms: u64) -> Effect {
+        let known = self.entries.get_mut(&update.server);
+        if let Some(limit) = known.and_then(|entry| entry.limit.as_mut()) {
+            return limit.apply(update.incarnation, update.limit_per_s, as_of_ms);
+        }
+        let Some(limit_per_s) = update.limit_per_s else {
+            return Effect::None;
+        };
+        let limit = ServerLimit::new(update.incarnation, limit_per_s, as_of_ms);
+        let entry = self.entries.entry(update.server.clone()).or_default();
+        entry.limit = Some(limit);
+        Effect::Changed
+    }
+
+    /// Whether a server's limit leaves room for a request of this router.
+    pub fn limit_room(
+        &mut self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        place: FleetPlace,
+        now_ms: u64,
+    ) -> Room {
+        let limit = self.entries.get_mut(server);
+        let limit = limit.and_then(|entry| entry.limit.as_mut());
+        limit.map_or(Room::Free, |limit| {
+            limit.room(server, incarnation, place, now_ms)
+        })
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn take_limit(&mut self, server: &ServerId) {
+        let limit = self.entries.get_mut(server);
+        if let Some(limit) = limit.and_then(|entry| entry.limit.as_mut()) {
+            limit.take();
+        }
+    }
+
+    /// A server's limit in requests a second; `None` if it names none.
+    pub fn limit_per_s(
+        &self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> Option<f64> {
+        let limit = self.entries.get(server)?.limit.as_ref()?;
+        limit.limit_per_s(incarnation, now_ms)
+    }
+
+    /// All known limits, for another router.
+    pub fn limit_updates(&self, now_ms: u64) -> Vec<LimitUpdate> {
+        let limits = self.entries.iter().filter_map(|(server, entry)| {
+            let limit = entry.limit.as_ref()?;
+            limit.to_update(server, now_ms)
+        });
+        limits.collect()
+    }
+
     /// Records whether a request to a server succeeded or failed through a fault of the server.
     pub fn record_outcome(&mut self, server: &ServerId, is_fault: bool, now_ms: u64) {
         let mean = self.mean_fault_rate(server);
@@ -157,13 +234,15 @@
     }
 
     /// Removes the unreachable servers from the candidates and moves those with a penalty, and those
-    /// whose pause has just ended, to the end.
+    /// whose pause or limit has just ended, to the end.
     pub fn order(&self, candidates: Vec<ServerId>, now_ms: u64) -> Vec<ServerId> {
         let has_penalty = |server: &ServerId| {
             let entry = self.entries.get(server);
             entry.is_some_and(|entry| {
                 let has_paused = entry.pause.is_some_and(|pause| pause.is_recent(now_ms));
-                entry.penalty_until_ms > now_ms || has_paused
+                let limit = entry.limit.as_ref();
+                let was_limited = limit.is_some_and(|limit| limit.was_just_lifted(now_ms));
+                entry.penalty_until_ms > now_ms || has_paused || was_limited
             })
         };
         let reachable = candidates.into_iter().filter(|id| self.is_reachable(id));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -308,7 +308,15 @@
         .backends
         .decode(&routed.id, head.status, &head.headers);
     // A server that declines a request reports its load, too.
-    record_notice(state, routed, server, &response_head);
+    let is_success = head.status.is_success() && response_head.has_matching_id;
+    record_notice(
+        state,
+        routed,
+        server,
+        &response_head,
+        started_ms,
+        is_success,
+    );
     validate_response(&response_head, &head.headers)?;
     let is_event_stream = routed.route.is_stream && head.status.is_success();
     let body = match is_event_stream {
@@ -419,6 +427,8 @@
     routed: &RoutedRequest,
     server: &Registration,
     response_head: &ResponseHead,
+    sent_ms: u64,
+    is_success: bool,
 ) {
     if response_head.is_misdirected {
         return;
@@ -427,13 +437,15 @@
     if notice.is_leaving {
         state.record_leaving(server, &routed.id);
     }
-    if let LimitNotice::PerSecond(limit_per_s) = notice.limit {
-        log::debug!(
-            "event=server_limit id={} server={} incarnation={} limit_per_s={limit_per_s}",
-            routed.id,
-            server.id,
-            server.incarnation,
-        );
+    match notice.limit {
+        LimitNotice::PerSecond(limit_per_s) => {
+            state.record_limit(server, Some(limit_per_s), state.now_ms());
+        }
+        // Servers name their limits in responses to requests that they have run.
+        LimitNotice::Absent if is_success && response_head.is_signed => {
+            state.record_limit(server, None, sent_ms);
+        }
+        LimitNotice::Absent | LimitNotice::Unreadable => {}
     }
     // A pause of 0 is a refusal without a pause.
     if let Some(pause_ms) = notice.pause_ms.filter(|pause_ms| *pause_ms > 0) {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,6 +7,7 @@
 use crate::decide::placement::{AtCapacity, PromptDemand, Server, place, smooth_counts};
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
+use crate::decide::server_limit::Room;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
@@ -30,6 +31,9 @@
     Rejected(Rejection),
     /// All servers have asked for a pause; the first one ends at this monotonic time in ms.
     Paused { until_ms: u64 },
+    /// This router's shares of the limits of all servers are used up, the first one until the given
+    /// time; `None` if it has no share.
+    AtLimit { until_ms: Option<u64> },
 }
 
 impl From<Rejection> for NoSelection {
@@ -59,6 +63,23 @@
             }),
         });
     }
+    let place_in_fleet = state.fleet_place();
+    let mut free_ms = None;
+    servers.retain(|server| {
+        match state
+            .reachability
+            .limit_room(server, place_in_fleet, now_ms)
+        {
+            Room::Free => true,
+            Room::UsedUp(until_ms) => {
+                free_ms = free_ms.into_iter().chain(until_ms).min();
+                false
+            }
+        }
+    });
+    if servers.is_empty() {
+        return Err(NoSelection::AtLimit { until_ms: free_ms });
+    }
     let mut candidates: Vec<Server> = servers
         .iter()
         .map(|server| Server {
@@ -85,12 +106,12 @@
     })?;
     let ordered = state.reachability.order(ordered, now_ms);
     let first = ordered.into_iter().next();
-    first
-        .and_then(|id| servers.iter().find(|server| server.id == id).cloned())
-        .ok_or_else(|| {
-            let retry_after_ms = random_retry_after_ms();
-            Rejection::NoServer { retry_after_ms }.into()
-        })
+    let selected = first.and_then(|id| servers.into_iter().find(|server| server.id == id));
+    let selected = selected.ok_or_else(|| Rejection::NoServer {
+        retry_after_ms: random_retry_after_ms(),
+    })?;
+    state.reachability.take_limit(&selected.id);
+    Ok(selected)
 }
 
 /// Minimum number of shared tokens for which fetching them from another server is faster than
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -267,6 +267,7 @@
         sound: Vec::new(),
         quarantines: state.strikes.apply_quarantines(&in_force, now_ms),
         as_of_ms: now_ms,
+        ..StrikeChanges::default()
     };
     state.strike_feed.publish(changes, None);
     let quarantines = stored.quarantines.iter();
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -13,6 +13,7 @@
 use crate::decide::health::ServerHealth;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
+use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room};
 use crate::gateway::state::State;
 use crate::ids::{RequestId, ServerId};
 
@@ -103,6 +104,44 @@
         health.pause_end_ms(&server.id, server.incarnation, now_ms)
     }
 
+    /// Records what a response, here or at another router, said of a server's limit.
+    pub fn record_limit(&self, update: &LimitUpdate, as_of_ms: u64, source: &str) -> Effect {
+        let effect = self.health.lock().record_limit(update, as_of_ms);
+        if effect == Effect::Changed {
+            log::info!(
+                "event=server_limit server={} incarnation={} limit_per_s={} source={source}",
+                update.server,
+                update.incarnation,
+                update
+                    .limit_per_s
+                    .map_or("none".to_owned(), |limit| limit.to_string()),
+            );
+        }
+        effect
+    }
+
+    /// Whether a server's limit leaves room for a request of this router.
+    pub fn limit_room(&self, server: &Registration, place: FleetPlace, now_ms: u64) -> Room {
+        let mut health = self.health.lock();
+        health.limit_room(&server.id, server.incarnation, place, now_ms)
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn take_limit(&self, server: &ServerId) {
+        self.health.lock().take_limit(server);
+    }
+
+    /// A server's limit in requests a second; `None` if it names none.
+    pub fn limit_per_s(&self, server: &Registration, now_ms: u64) -> Option<f64> {
+        let health = self.health.lock();
+        health.limit_per_s(&server.id, server.incarnation, now_ms)
+    }
+
+    /// All known limits of servers, for another router.
+    pub fn limit_updates(&self, now_ms: u64) -> Vec<LimitUpdate> {
+        self.health.lock().limit_updates(now_ms)
+    }
+
     /// Records whether a request to a server failed.
     pub fn record_outcome(&self, server: &ServerId, is_fault: bool, now_ms: u64) {
         self.health.lock().record_outcome(server, is_fault, now_ms);
--- a/src/gateway/rejection.rs
+++ b/src/gateway/rejection.rs
@@ -43,6 +43,12 @@
         /// Time after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// The servers have limited the requests that they take, and all that they allow are used up.
+    #[error("all servers of this route have reached their request limits; retry after the pause")]
+    AtLimit {
+        /// Time after which the caller should retry.
+        retry_after_ms: u64,
+    },
     /// The attempts failed before any server ran the request, so that a retry is safe.
     #[error("no server accepted the request; retry after the pause")]
     NotAccepted {
@@ -77,6 +83,7 @@
             | Self::Overloaded { .. }
             | Self::NotAccepted { .. }
             | Self::Paused { .. }
+            | Self::AtLimit { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -98,6 +105,7 @@
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
             Self::Paused { .. } => "paused",
+            Self::AtLimit { .. } => "at_limit",
             Self::Quarantined { .. } => "quarantined",
         }
     }
@@ -109,6 +117,7 @@
             | Self::Overloaded { retry_after_ms }
             | Self::NotAccepted { retry_after_ms }
             | Self::Paused { retry_after_ms }
+            | Self::AtLimit { retry_after_ms }
             | Self::Quarantined { retry_after_ms } => Some(*retry_after_ms),
             Self::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
             _ => None,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -172,6 +172,7 @@
     runtime.spawn_supervised(move || strikes::publish_loop(Arc::clone(&shared)));
     match relay.is_seed() {
         true => {
+            state.fleet_counts.lock().set_root();
             let shared = Arc::clone(&relay);
             runtime.spawn_detached(async move {
                 copy_from_seeds(shared).await;
@@ -235,6 +236,9 @@
     if first.is_seed {
         let link = CountLink::open(relay, Scope::Group, None);
         if let Some(address) = subscriber.address {
+            if address < relay.settings.listen {
+                relay.state.fleet_counts.lock().set_before(link.id);
+            }
             let mut tree = relay.tree.lock();
             tree.add_seed(link.id, address, subscriber.zone);
         }
@@ -246,7 +250,7 @@
             let feed = relay.state.strike_feed.open_link();
             let link = CountLink::open(relay, Scope::Subtree, Some(&feed));
             relay.tree.lock().add_child(link.id, subscriber);
-            let publish = publish_to_subscriber(relay, &mut writer, introduction, &feed);
+            let publish = publish_to_subscriber(relay, &mut writer, introduction, &feed, link.id);
             return receive_counts(&mut reader, &link).or(publish).await;
         }
         Admission::Redirect(redirects) => redirects,
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -46,6 +46,9 @@
             state.record_router_count(self.id, message.routers);
             self.relay.tree.lock().set_subtree(self.id, message.routers);
         }
+        if let Some(index) = message.index {
+            state.fleet_counts.lock().set_index(self.id, index);
+        }
         apply_strikes(state, message, self.feed);
         let counts = message
             .counts
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -43,6 +43,7 @@
     writer: &mut FrameWriter,
     introduction: Option<&Introduction>,
     feed: &FeedLink,
+    link: u64,
 ) -> Result<(), LinkError> {
     let known = |table: usize| {
         let mut known = introduction.iter().flat_map(|i| &i.known);
@@ -99,7 +100,11 @@
                 Due::Counts => {
                     send_path(relay, writer, &mut sent_path).await?;
                     let totals = relay.state.fleet_totals();
-                    let message = counts_message(&mut sent_counts, &totals.all, totals.routers);
+                    let index = relay.state.fleet_counts.lock().index_below(link);
+                    let message = Message {
+                        index,
+                        ..counts_message(&mut sent_counts, &totals.all, totals.routers)
+                    };
                     send_in_time(writer, &message).await?;
                     Ok::<_, LinkError>(true)
                 }
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use crate::decide::server_limit::LimitUpdate;
 use crate::decide::strikes::{Fingerprint, Quarantine, Snapshot, SoundPart, StrikeDelta};
 use crate::gateway::protocol::PROMPT_PARTS_MAX;
 use crate::gateway::quarantine::POLICY;
@@ -11,11 +12,12 @@
 use crate::gateway::relay::{NO_TABLE, Relay};
 use crate::gateway::state::State;
 use crate::gateway::strike_feed::StrikeChanges;
-use crate::ids::ServerId;
+use crate::ids::{Incarnation, ServerId};
 use crate::peer::frame::{FrameWriter, LinkError};
 
 /// Maximum number of entries in a message, which keeps it well below the largest frame.
 const ENTRIES_PER_MESSAGE_MAX: usize = 500;
+const MILLI: f64 = 1_000.0;
 
 /// Publishes the strikes that this router records. Never returns.
 pub(super) async fn publish_loop(relay: Arc<Relay>) {
@@ -26,8 +28,8 @@
         let changes = StrikeChanges {
             strikes: state.strikes.drain_outgoing(as_of_ms),
             sound: state.strikes.drain_sound(as_of_ms),
-            quarantines: Vec::new(),
             as_of_ms,
+            ..StrikeChanges::default()
         };
         state.strike_feed.publish(changes, None);
     }
@@ -48,6 +50,7 @@
         strikes,
         sound,
         quarantines,
+        limits: state.reachability.limit_updates(as_of_ms),
         as_of_ms,
     };
     send_changes(state, writer, &changes).await
@@ -93,6 +96,14 @@
         };
         send_in_time(writer, &message).await?;
     }
+    for batch in changes.limits.chunks(ENTRIES_PER_MESSAGE_MAX) {
+        let limits = batch.iter().map(|limit| encode_limit(limit, queued_ms));
+        let message = Message {
+            server_limits: limits.collect(),
+            ..empty.clone()
+        };
+        send_in_time(writer, &message).await?;
+    }
     Ok(())
 }
 
@@ -110,6 +121,24 @@
     }
 }
 
+fn encode_limit(limit: &LimitUpdate, queued_ms: u64) -> wire::ServerLimit {
+    wire::ServerLimit {
+        server: limit.server.as_str().to_owned(),
+        incarnation: limit.incarnation.0,
+        limit_milli_per_s: limit.limit_per_s.map(|limit| (limit * MILLI) as u64),
+        age_ms: limit.age_ms.saturating_add(queued_ms),
+    }
+}
+
+fn decode_limit(limit: &wire::ServerLimit) -> LimitUpdate {
+    LimitUpdate {
+        server: ServerId::from(limit.server.as_str()),
+        incarnation: Incarnation(limit.incarnation),
+        limit_per_s: limit.limit_milli_per_s.map(|limit| limit as f64 / MILLI),
+        age_ms: limit.age_ms,
+    }
+}
+
 fn decode(strike: &wire::Strike) -> StrikeDelta {
     let parts = strike.parts.iter().take(PROMPT_PARTS_MAX);
     StrikeDelta {
@@ -127,7 +156,8 @@
 /// Applies the strikes and quarantines of a message, and passes on those that are new.
 pub(super) fn apply_strikes(state: &State, message: &Message, origin: Option<u64>) {
     let has_strikes = !message.strikes.is_empty() || !message.sound_parts.is_empty();
-    if !has_strikes && message.quarantines.is_empty() {
+    let has_limits = !message.server_limits.is_empty();
+    if !has_strikes && !has_limits && message.quarantines.is_empty() {
         return;
     }
     let now_ms = state.now_ms();
@@ -146,6 +176,7 @@
         sound: state.strikes.apply_sound(&sound, now_ms),
         strikes: state.strikes.apply_remote(&strikes, now_ms, POLICY),
         quarantines: state.strikes.apply_quarantines(&quarantines, now_ms),
+        limits: state.apply_limit_updates(message.server_limits.iter().map(decode_limit), now_ms),
         as_of_ms: now_ms,
     };
     state.strike_feed.publish(changes, origin);
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -60,6 +60,29 @@
     /// Era of the position; absent from routers of older versions, and if the source states none.
     #[prost(uint64, optional, tag = "16")]
     pub era: Option<u64>,
+    /// Number of the receiver among all routers; from the router that relays to it.
+    #[prost(uint32, optional, tag = "17")]
+    pub index: Option<u32>,
+    /// Limits that servers have named, changed or lifted.
+    #[prost(message, repeated, tag = "18")]
+    pub server_limits: Vec<ServerLimit>,
+}
+
+/// Limit of a server on the requests of all routers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServerLimit {
+    /// Id of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Incarnation of the server.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Requests in 1,000 s; absent if the server names no limit any more.
+    #[prost(uint64, optional, tag = "3")]
+    pub limit_milli_per_s: Option<u64>,
+    /// Time since the server said so, in ms.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// A part of a prompt on which an answer began.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -257,6 +257,14 @@
             Err(NoSelection::Paused { until_ms }) => {
                 return fallback.ok_or_else(|| pause_rejection(history, until_ms, now_ms));
             }
+            Err(NoSelection::AtLimit { until_ms }) => {
+                let wait_ms = until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
+                let pause_ms = state.record_overload(&routed.service, remaining_ms);
+                let rejection = Rejection::AtLimit {
+                    retry_after_ms: pause_ms.max(wait_ms),
+                };
+                return fallback.ok_or_else(|| placement_failure(history, rejection));
+            }
             Err(NoSelection::Rejected(rejection)) => {
                 return fallback.ok_or_else(|| placement_failure(history, rejection));
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -405,6 +405,7 @@
                         .reachability
                         .pause_end_ms(server, now_ms)
                         .map(|end_ms| end_ms - now_ms),
+                    "limit_per_s": self.reachability.limit_per_s(server, now_ms),
                     "own_requests": self.load.own_requests(&server.id),
                     "known_requests": self.load.view(&server.id).known,
                     "load_age_ms": self.load.age_ms(&server.id),
@@ -421,6 +422,7 @@
             "requests_struck": self.strikes.len(),
             "requests_quarantined": self.strikes.quarantines(now_ms).len(),
             "routers": self.router_count(),
+            "router_index": self.fleet_place().index,
             "config_version": routing.as_ref().map(|routing| routing.version),
             "servers": servers,
         })
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -1,15 +1,22 @@
 //! What the gateway's state knows of backend servers from their registrations.
 
 use std::cmp::Reverse;
+use std::sync::atomic::Ordering;
 
 use indexmap::IndexSet;
 
 use crate::decide::registry::Registration;
+use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate};
 use crate::decide::strikes::Incarnation;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::state::State;
+use crate::gateway::strike_feed::StrikeChanges;
 use crate::ids::{RequestId, ServerId, ServiceId};
 
+/// Time after its start by which the other routers have linked to a seed: they retry every 100 ms
+/// at first, then every 1.5 s.
+const ROUTERS_LINKED_MS: u64 = 5_000;
+
 impl State {
     /// Servers of a service that accept requests.
     pub fn available_servers(&self, service: &ServiceId) -> Vec<Registration> {
@@ -32,6 +39,66 @@
         self.registry.lock().get(server, self.now_ms()).cloned()
     }
 
+    /// Records what a response of a server said of its limit, and passes it on if it is new.
+    pub fn record_limit(&self, server: &Registration, limit_per_s: Option<f64>, as_of_ms: u64) {
+        let update = LimitUpdate {
+            server: server.id.clone(),
+            incarnation: server.incarnation,
+            limit_per_s,
+            age_ms: self.now_ms().saturating_sub(as_of_ms),
+        };
+        let effect = self
+            .reachability
+            .record_limit(&update, as_of_ms, "response");
+        if effect == Effect::Changed {
+            self.metrics.count_notice("limit");
+        }
+        if effect != Effect::None {
+            let changes = StrikeChanges {
+                limits: vec![update],
+                as_of_ms: self.now_ms(),
+                ..StrikeChanges::default()
+            };
+            self.strike_feed.publish(changes, None);
+        }
+    }
+
+    /// Applies what other routers were told of the limits of servers; returns what is new. Servers
+    /// that this router does not know are left out.
+    pub fn apply_limit_updates<U>(&self, updates: U, now_ms: u64) -> Vec<LimitUpdate>
+    where
+        U: Iterator<Item = LimitUpdate>,
+    {
+        let is_known = |update: &LimitUpdate| {
+            let registry = self.registry.lock();
+            registry.known_for_ms(&update.server, now_ms).is_some()
+        };
+        let is_new = |update: &LimitUpdate| {
+            let as_of_ms = now_ms.saturating_sub(update.age_ms);
+            self.reachability.record_limit(update, as_of_ms, "peer") != Effect::None
+        };
+        updates
+            .filter(|update| is_known(update) && is_new(update))
+            .collect()
+    }
+
+    /// This router's place among those that share the limits of servers.
+    pub fn fleet_place(&self) -> FleetPlace {
+        let (index, linked) = {
+            let fleet = self.fleet_counts.lock();
+            (fleet.index(), fleet.router_count())
+        };
+        // A seed without links may be the only router once others had the time to connect.
+        let is_alone = self.routers_known().load(Ordering::Relaxed) == 0
+            && index.is_some()
+            && self.now_ms() >= ROUTERS_LINKED_MS;
+        let routers = match is_alone {
+            true => linked,
+            false => self.router_count() as u32,
+        };
+        FleetPlace { index, routers }
+    }
+
     /// Whether a server still accepts requests, as the same incarnation at the same address.
     pub fn accepts_requests(&self, server: &Registration) -> bool {
         let now_ms = self.now_ms();
--- a/src/gateway/strike_feed.rs
+++ b/src/gateway/strike_feed.rs
@@ -1,4 +1,4 @@
-//! Passes changes of the strikes on to the links of the relay without delay.
+//! Passes changes of the strikes and of servers' limits on to the links of the relay without delay.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,14 +7,15 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
+use crate::decide::server_limit::LimitUpdate;
 use crate::decide::strikes::{Quarantine, SoundPart, StrikeDelta};
 
 /// Capacity of a link's queue. A link that falls further behind is closed, and receives a snapshot
 /// when it has been opened again.
 const QUEUE_MAX: usize = 256;
 
-/// Strikes and quarantines that are new to this router.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// Strikes, quarantines and limits of servers that are new to this router.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct StrikeChanges {
     /// Crashes and completions.
     pub strikes: Vec<StrikeDelta>,
@@ -22,6 +23,8 @@
     pub sound: Vec<SoundPart>,
     /// Quarantines that were not derived from strikes.
     pub quarantines: Vec<Quarantine>,
+    /// Limits that servers have named, changed or lifted.
+    pub limits: Vec<LimitUpdate>,
     /// Monotonic time in ms at which ages and remaining times were taken.
     pub as_of_ms: u64,
 }
@@ -29,7 +32,10 @@
 impl StrikeChanges {
     /// Whether there is nothing to send.
     pub fn is_empty(&self) -> bool {
-        self.strikes.is_empty() && self.sound.is_empty() && self.quarantines.is_empty()
+        self.strikes.is_empty()
+            && self.sound.is_empty()
+            && self.quarantines.is_empty()
+            && self.limits.is_empty()
     }
 }
 
