Take a response to another request for no refusal of this one

A late second copy of an earlier refusal, on a connection that was in use again, was taken for the refusal of the next request: its caller was told that the request had not run (503), although it ran, or it ran a second time elsewhere. The not-run statement was looked at before the id. A response with the id of another request is now foreign whatever it says, and its statements about the server are ignored.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -391,6 +391,13 @@
 /// Fails unless the response is a valid one to this request.
 fn validate_response(response_head: &ResponseHead, headers: &HeaderMap) -> Result<(), Failure> {
     let failed = |kind, reason: &str| Err(Failure::new(kind, reason));
+    // A late second copy of an earlier refusal says nothing of this request.
+    if response_head.has_other_id {
+        return failed(
+            FailureKind::Foreign,
+            "the response belongs to another request",
+        );
+    }
     if response_head.is_misdirected {
         return failed(
             FailureKind::Misdirected,
@@ -421,7 +428,8 @@
     Ok(())
 }
 
-/// Records what the server says of itself. Responses of another server say nothing about it.
+/// Records what the server says of itself. A response of another server says nothing about it, and
+/// one to another request may be late.
 fn record_notice(
     state: &State,
     routed: &RoutedRequest,
@@ -430,7 +438,7 @@
     sent_ms: u64,
     is_success: bool,
 ) {
-    if response_head.is_misdirected {
+    if response_head.is_misdirected || response_head.has_other_id {
         return;
     }
     let notice = &response_head.notice;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -114,6 +114,8 @@
 pub struct ResponseHead {
     /// Whether the response has the id of this request.
     pub has_matching_id: bool,
+    /// Whether the response has the id of another request.
+    pub has_other_id: bool,
     /// What the server says of itself.
     pub notice: ServerNotice,
     /// Whether another server answered at the address.
