Send light prompts first to servers whose limits have room

A prompt goes to the first server of its rendezvous order, and the few limited servers that a router may send to come first for few prompts; what was left overloaded the servers without a limit.

Prompts of at most the mean size of their service go first to servers whose limits have room; large ones stay with the servers that hold them.

--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -61,6 +61,48 @@
     }
 }
 
+/// Weight of a new prompt in the mean size of a service's prompts.
+const SIZE_WEIGHT: f64 = 0.1;
+
+/// Mean number of shared tokens of the prompts of one service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PromptSizes {
+    mean_tokens: Option<f64>,
+}
+
+impl PromptSizes {
+    /// Records a prompt; returns whether it is light: at most as large as the mean of those before
+    /// it. It costs little to process a light prompt on a server that does not hold its shared
+    /// parts.
+    ///
+    /// ```
+    /// use jujubeusher::decide::placement::PromptSizes;
+    /// let mut sizes = PromptSizes::default();
+    /// assert!(sizes.record(700));
+    /// assert!(!sizes.record(10_000));
+    /// assert!(sizes.record(1_500));
+    /// ```
+    pub fn record(&mut self, shared_tokens: u64) -> bool {
+        let tokens = shared_tokens as f64;
+        let mean_tokens = self.mean_tokens.get_or_insert(tokens);
+        let is_light = tokens <= *mean_tokens;
+        *mean_tokens += (tokens - *mean_tokens) * SIZE_WEIGHT;
+        is_light
+    }
+}
+
+/// Moves the servers to the front that limit their requests and have room for one, for a light
+/// prompt. A share of a limit that is not used is lost, and overloads the servers without a limit;
+/// light prompts use it up at the least cost.
+pub fn prefer_limited<L>(ordered: &mut [ServerId], is_light: bool, is_limited: L)
+where
+    L: Fn(&ServerId) -> bool,
+{
+    if is_light {
+        ordered.sort_by_key(|server| !is_limited(server));
+    }
+}
+
 /// Error: all servers are at capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AtCapacity;
--- a/src/decide/placement/tests.rs
+++ b/src/decide/placement/tests.rs
@@ -241,3 +241,16 @@
     smooth_counts(&mut servers, &[1, 0], 60.0);
     assert_eq!(known(&servers), [7, 6]);
 }
+
+/// Guards against limits that are not used, which overloads the servers without one: at 87 routers
+/// 0.86 of the requests were served.
+#[test]
+fn prefer_limited_light_prompts_use_up_limits_first() {
+    let ids = |names: [&str; 3]| names.map(ServerId::from).to_vec();
+    let is_limited = |server: &ServerId| server.as_str() == "c";
+    let mut ordered = ids(["a", "b", "c"]);
+    prefer_limited(&mut ordered, false, is_limited);
+    assert_eq!(ordered, ids(["a", "b", "c"]));
+    prefer_limited(&mut ordered, true, is_limited);
+    assert_eq!(ordered, ids(["c", "a", "b"]));
+}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -4,7 +4,9 @@
 
 use rand::RngExt;
 
-use crate::decide::placement::{AtCapacity, PromptDemand, Server, place, smooth_counts};
+use crate::decide::placement::{
+    AtCapacity, PromptDemand, Server, place, prefer_limited, smooth_counts,
+};
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
 use crate::decide::server_limit::Room;
@@ -104,7 +106,13 @@
             retry_after_ms: state.record_overload(&routed.service, remaining_ms),
         }
     })?;
-    let ordered = state.reachability.order(ordered, now_ms);
+    let mut ordered = state.reachability.order(ordered, now_ms);
+    let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
+    let is_light = state.record_prompt_size(&routed.service, shared_tokens);
+    prefer_limited(&mut ordered, is_light, |id| {
+        let server = servers.iter().find(|server| server.id == *id);
+        server.is_some_and(|server| state.reachability.limit_per_s(server, now_ms).is_some())
+    });
     let first = ordered.into_iter().next();
     let selected = first.and_then(|id| servers.into_iter().find(|server| server.id == id));
     let selected = selected.ok_or_else(|| Rejection::NoServer {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::control::strikes::Strikes;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::overload::Overload;
+use crate::decide::placement::PromptSizes;
 use crate::decide::prompt_homes::{PromptHomes, fetch_source};
 use crate::decide::registry::{Registration, Registry};
 use crate::decide::retry_window::{FleetRetryLimit, RetryWindow};
@@ -113,6 +114,7 @@
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     overloads: Mutex<IndexMap<ServiceId, Overload>>,
     run_ms: Mutex<IndexMap<ServiceId, f64>>,
+    prompt_sizes: Mutex<IndexMap<ServiceId, PromptSizes>>,
     homes: Mutex<PromptHomes>,
     pub(super) fleet_counts: Mutex<FleetCounts>,
     fleet_totals: Mutex<Option<Arc<FleetTotals>>>,
@@ -176,6 +178,7 @@
             retry_windows: Mutex::default(),
             overloads: Mutex::default(),
             run_ms: Mutex::default(),
+            prompt_sizes: Mutex::default(),
             homes: Mutex::default(),
             fleet_counts: Mutex::default(),
             fleet_totals: Mutex::default(),
@@ -378,6 +381,14 @@
         *mean += (elapsed_ms - *mean) * RUN_WEIGHT;
     }
 
+    /// Records the size of a request's shared prompt parts; returns whether it is light among those
+    /// of its service.
+    pub fn record_prompt_size(&self, service: &ServiceId, shared_tokens: u64) -> bool {
+        let mut prompt_sizes = self.prompt_sizes.lock();
+        let sizes = prompt_sizes.entry(service.clone()).or_default();
+        sizes.record(shared_tokens)
+    }
+
     /// Mean duration of the calls to a service; `None` before the first one.
     pub fn run_ms(&self, service: &ServiceId) -> Option<f64> {
         self.run_ms.lock().get(service).copied()
