Answer requests that wait for the end of a pause when a planned stop begins

They could wait up to their deadline, which may be later than the end of the grace time, and would then have been cut off without an answer. They are rejected within 100 ms of the stop's begin, and have not run. The test failed before (the request waited for 3 s of the stop).

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -248,6 +248,7 @@
             Ok(server) => server,
             Err(NoSelection::Paused { until_ms })
                 if fallback.is_none()
+                    && !state.is_stopping()
                     && can_wait(until_ms, routed.deadline_ms, routed.route.latency_target_ms) =>
             {
                 let wait_ms = until_ms.saturating_sub(now_ms).min(PAUSE_POLL_MS);
