--- a/review/kit/world.py
+++ b/review/kit/world.py
@@ -230,7 +230,7 @@
         self.born = int(time.time() * 1000)
         self.sequence, self.state, self.open = 0, "ready", True
         self.stamps = 0
-        self.runs = []
+        self.runs, self.connections = [], set()
         self.listener = listen()
         self.port = self.listener.getsockname()[1]
         self.beat()
@@ -258,6 +258,15 @@
             if self.open:
                 self.beat()
 
+    def exit(self):
+        """Ends the server's process: all its connections are closed."""
+        self.open = False
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def drain(self):
         self.state = "draining"
         self.beat()
@@ -273,6 +282,7 @@
             spawn(self.serve, connection)
 
     def serve(self, connection):
+        self.connections.add(connection)
         reader = Reader(connection)
         try:
             while True:
@@ -296,6 +306,7 @@
                     return
         except (EOFError, OSError) as error:
             self.record(f"server {self.id}: a connection ended ({error})")
+            self.connections.discard(connection)
             connection.close()
 
 
