--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,93 +1,90 @@
-"""One tenant sends many times its usual: long prompts, each within MaxBodyBytes."""
+"""A server crashes while it sends a stream whose length it has declared; another one goes on."""
 
 import os
+import random
+import struct
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "kit"))
 from world import *
 
-MEMORY_MB = 260
-BODY_BYTES = 4 * 1024 * 1024
-USUAL_PER_S = 2
-TIMES = 7.5
-TROUBLE_S = 6.5
-FIRST_EVENT_S = 2.0
-EVENTS = 10
-EVENT_S = 0.1
-CONNECTIONS = 100
-LOST_MAX = 3
+PIECES = 12
+PIECE_S = 0.08
+SERVERS = 6
+CLIENTS = 36
+
+
+def piece(server, request_id, number):
+    """A piece as this server makes it: each server samples its own words."""
+    words = random.Random(f"{server.id} {request_id} {number}")
+    text = "".join(words.choices("abcdefghij", k=words.randint(10, 40)))
+    return f"id: {number}\ndata: {text}\n\n".encode()
 
 
 def run(request, reply):
-    time.sleep(FIRST_EVENT_S if len(request.body) > 1000 else 0)
-    reply.begin_stream()
-    for number in range(1, EVENTS + 1):
-        reply.event(number)
-        time.sleep(EVENT_S)
-    reply.end_stream()
+    server = reply.server
+    first = int(get(request.headers, "last-event-id") or 0) + 1
+    pieces = [piece(server, request.id, number) for number in range(first, PIECES + 1)]
+    length = sum(map(len, pieces))
+    reply.send(reply.head(200, [("Content-Type", "text/event-stream"), ("Content-Length", length)]))
+    sent[request.id] = sent.get(request.id, []) + [(server.id, first, pieces)]
+    connections.setdefault(server.id, set()).add(reply.connection)
+    for data in pieces:
+        time.sleep(PIECE_S)
+        reply.send(data)
+    connections[server.id].discard(reply.connection)
+    server.record(f"server {server.id} has sent pieces {first} to {PIECES} of {request.id}")
+
+
+sent, connections = {}, {}
+
+
+def crash(server):
+    """The process of a server ends: no listener any more, its connections are reset."""
+    server.record(f"server {server.id} crashes")
+    server.open = False
+    server.listener.shutdown(socket.SHUT_RDWR)
+    server.listener.close()
+    for connection in list(connections.get(server.id, ())):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RD)
+        connection.close()
 
 
 def case(world):
-    routes = [route("report", "/report/", "stream", "lm", GapAimMs=500, Attempts=1)]
+    routes = [route("tag", "/tag/", "stream", "lm", CanResume=True, GapAimMs=500)]
     world.configure(routes, [("lm", 360)])
-    servers = [world.server("lm", run) for _ in range(4)]
-    router = world.start_routers(memory_mb=MEMORY_MB)[0]
-    peak = [0.0]
-
-    def platform():
-        """DEPLOY.md, Memory: a process that exceeds MemoryMb is killed."""
-        while router.process.poll() is None:
-            resident = router.resident_mb()
-            peak[0] = max(peak[0], resident)
-            if resident > MEMORY_MB:
-                world.record(f"router 1 has {resident:.0f} MB of {MEMORY_MB}: it is killed")
-                router.process.kill()
-                return
-            time.sleep(0.01)
-
-    # Kept connections: each has brought a short request before, which was answered.
-    idle = []
-    for _ in range(CONNECTIONS):
-        idle.append(Client(router, world.record))
-    first = [spawn(connection.ask, "POST", "/report/x", b"hello") for connection in idle]
-    for thread in first:
-        thread.join(20)
-    spawn(platform)
-    body = os.urandom(BODY_BYTES)
-    answers, lock = {}, threading.Lock()
-
-    def send(connection):
-        try:
-            request_id = connection.send("POST", "/report/x", body)
-        except OSError as error:
-            world.record(f"a request could not be sent: {error}")
-            return
-        answer = connection.receive(request_id)
-        with lock:
-            answers[request_id] = answer
-            idle.append(connection)
-
-    rate = USUAL_PER_S * (TIMES if TROUBLE else 1)
-    world.record(f"the tenant sends {rate:g} long requests a second for {TROUBLE_S} s")
-    threads, start = [], time.monotonic()
-    for number in range(int(rate * TROUBLE_S)):
-        time.sleep(max(0.0, start + number / rate - time.monotonic()))
-        if router.process.poll() is not None:
-            # The platform sends further clients to other machines.
-            break
-        with lock:
-            connection = idle.pop(0) if idle else None
-        if connection is None:
-            raise CannotRun("too few connections")
-        threads.append(spawn(send, connection))
-    for thread in threads:
+    servers = [world.server("lm", run) for _ in range(SERVERS)]
+    router = world.start_routers()[0]
+    answers = {}
+
+    def client():
+        connection = Client(router, world.record)
+        request_id, answer = connection.ask("POST", "/tag/x", b"label this")
+        answers[request_id] = answer
+        connection.close()
+
+    clients = [spawn(client) for _ in range(CLIENTS)]
+    time.sleep(PIECE_S * PIECES / 2)
+    if TROUBLE:
+        crash(max(servers, key=lambda server: len(connections.get(server.id, ()))))
+    for thread in clients:
         thread.join(20)
-    world.record(f"router 1 took {peak[0]:.0f} MB at most")
-    runs = {request_id for server in servers for request_id in server.runs}
-    lost = [i for i, answer in answers.items() if answer.status is None and i in runs]
-    world.record(f"{len(answers)} long requests, {len(lost)} of them passed on and not answered")
-    if len(lost) > LOST_MAX:
-        return f"LOST: {len(lost)} requests passed on, connections closed without an answer"
+    if len(answers) < CLIENTS:
+        raise CannotRun("not all clients were answered")
+    broken = []
+    for request_id, answer in answers.items():
+        if answer.status != 200 or not answer.is_complete:
+            continue
+        # The last piece, as the server that sent it to the router made it.
+        last = sent[request_id][-1][2][-1]
+        if not answer.body.endswith(last):
+            broken.append(request_id)
+            world.record(f"{request_id} looks complete, and ends with {answer.body[-60:]!r}")
+            world.record(f"{request_id}: the last piece of its last server is {last!r}")
+    world.record(f"{len(answers)} answers, {len(broken)} of them end early and look complete")
+    if broken:
+        return f"MIXED: {len(broken)} answers end early and look complete"
     return ""
 
 
