--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 
@@ -206,7 +206,11 @@
         }
         ResponseBody::Stream(source) => {
             let (status, headers) = (response.status, response.headers);
-            let body = stream::open(Arc::clone(state), routed, history, *source);
+            let declared_bytes = headers
+                .get(CONTENT_LENGTH)
+                .and_then(|value| value.to_str().ok());
+            let declared_bytes = declared_bytes.and_then(|text| text.parse().ok());
+            let body = stream::open(Arc::clone(state), routed, history, *source, declared_bytes);
             forwarded_response(state, status, &headers, body)
         }
     })
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -41,16 +41,22 @@
     /// Whether the current server has gone on with the answer for `ANSWER_MIN_MS`, or ended it.
     has_answered: bool,
     events: u64,
+    /// Bytes passed to the connection with the caller.
+    bytes: u64,
+    /// Length that the first server declared for its body; a resumed stream may have another one.
+    declared_bytes: Option<u64>,
     outcome: &'static str,
     _in_flight: InFlightGuard,
 }
 
-/// Opens the body of a stream whose first events come from `source`.
+/// Opens the body of a stream whose first events come from `source`, a server that declared this
+/// length of its body.
 pub fn open(
     state: Arc<State>,
     routed: RoutedRequest,
     history: AttemptHistory,
     source: EventSource,
+    declared_bytes: Option<u64>,
 ) -> Body {
     let relay = StreamRelay {
         _in_flight: state.track_request(),
@@ -59,6 +65,8 @@
         begun_ms: state.now_ms(),
         has_answered: false,
         events: 0,
+        bytes: 0,
+        declared_bytes,
         outcome: "caller_gone",
         source: Some(source),
         state,
@@ -68,7 +76,10 @@
     let parts = unfold(Some(relay), |relay| async {
         let mut relay = relay?;
         match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Ok(Some(bytes)) => {
+                relay.bytes += bytes.len() as u64;
+                Some((Ok(Frame::data(bytes)), Some(relay)))
+            }
             Ok(None) => None,
             Err(error) => Some((Err(error), None)),
         }
@@ -240,14 +251,18 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.state.metrics.count_stream(self.outcome, self.events);
+        let declared_bytes = self.declared_bytes.map(|bytes| bytes.to_string());
         log::info!(
-            "event=streamed id={} route={} service={} server={} outcome={} events={} sends={} ms={}",
+            "event=streamed id={} route={} service={} server={} outcome={} events={} bytes={} \
+             declared_bytes={} sends={} ms={}",
             self.routed.id,
             self.routed.route.name,
             self.routed.service,
             self.history.servers.last().map_or("-", |s| s.as_str()),
             self.outcome,
             self.events,
+            self.bytes,
+            declared_bytes.as_deref().unwrap_or("-"),
             self.history.servers.len(),
             self.state.now_ms().saturating_sub(self.routed.arrived_ms),
         );
