Let stand-in servers declare lengths of streams and write their own words

The stand-ins sent all streams in chunks and with the same words in each run, so that a length of one server's body on a joined one could not show.

--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -10,7 +10,7 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::stream::{iter, once};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -18,8 +18,11 @@
 use parking_lot::Mutex;
 use smol::Timer;
 
+use crate::platform::stream::{self, StreamStyle, Words};
 use crate::serve::{Body, Server, close_connection, response};
 
+pub use crate::platform::stream::STREAM_EVENTS;
+
 /// Fault of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -68,6 +71,8 @@
     pub body: Bytes,
     /// When it was received.
     pub received_at: Instant,
+    /// Words of its events, if it is a stream.
+    pub words: Words,
 }
 
 impl Run {
@@ -89,6 +94,7 @@
     crashes: usize,
     run_time: Duration,
     events_before_crash: u64,
+    stream_style: StreamStyle,
 }
 
 impl State {
@@ -117,9 +123,6 @@
 /// Load report of a server without free capacity: running requests, waiting requests, slots.
 const LOAD_AT_CAPACITY: &str = "16,48,16";
 
-/// Number of events in each stream.
-pub const STREAM_EVENTS: u64 = 5;
-
 impl PlatformBackend {
     /// Starts a server with the instance id `id`.
     pub fn bind(address: SocketAddr, id: &str) -> io::Result<Self> {
@@ -240,6 +243,11 @@
         self.state.lock().events_before_crash = events;
     }
 
+    /// Sets how the server writes its streams; at first in chunks, and all with the same words.
+    pub fn set_stream_style(&self, style: StreamStyle) {
+        self.state.lock().stream_style = style;
+    }
+
     /// Queues a fault. Each request consumes one queued fault.
     pub fn inject_fault(&self, fault: Fault) {
         self.state.lock().queued_faults.push_back(fault);
@@ -315,13 +323,22 @@
     let request_id = parts.headers.get("x-request-id").cloned();
     let body = body.to_bytes();
     let is_crashing = state.lock().is_crashed_by(&parts.headers, &body);
-    state.lock().runs.push(Run {
-        target: format!("{} {}", parts.method, parts.uri),
-        headers: parts.headers,
-        body,
-        received_at: Instant::now(),
-    });
-    let events_before_crash = state.lock().events_before_crash;
+    let (words, style, events_before_crash) = {
+        let mut state = state.lock();
+        let style = state.stream_style;
+        let words = match style.has_own_words {
+            true => Words::of_run(&id, state.runs.len()),
+            false => Words::default(),
+        };
+        state.runs.push(Run {
+            target: format!("{} {}", parts.method, parts.uri),
+            headers: parts.headers,
+            body,
+            received_at: Instant::now(),
+            words,
+        });
+        (words, style, state.events_before_crash)
+    };
     let crashing = Arc::clone(&state);
     let crash = async move {
         Timer::after(CRASH_DELAY).await;
@@ -335,7 +352,8 @@
         return crash.await;
     }
     if is_crashing {
-        let response = crashing_events(after, events_before_crash, crash);
+        let response = crashing_events(words, after, events_before_crash, crash);
+        let response = stream::with_stream_headers(response, style, words, after);
         let response = with_header(response, "x-server-stamp", &format!("stamp-{id}"));
         return match request_id.as_ref().and_then(|id| id.to_str().ok()) {
             Some(request_id) => with_header(response, "x-request-id", request_id),
@@ -352,7 +370,11 @@
     let response = match fault {
         Some(Fault::ResponseLost) => return close_connection(),
         Some(Fault::ServerError) => response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-        _ if is_stream => events(after, fault == Some(Fault::TruncatedResponse)),
+        _ if is_stream => {
+            let is_truncated = fault == Some(Fault::TruncatedResponse);
+            let parts = stream::parts(words, after, is_truncated);
+            stream::response(parts, style, words, after)
+        }
         Some(Fault::TruncatedResponse) => truncated_response(),
         _ => response(StatusCode::OK, format!("answer of {id}")),
     };
@@ -375,19 +397,18 @@
 }
 
 /// Streams `count` events above `after`, then waits for `crash`, which never returns.
-fn crashing_events<F>(after: u64, count: u64, crash: F) -> Response<Body>
+fn crashing_events<F>(words: Words, after: u64, count: u64, crash: F) -> Response<Body>
 where
     F: Future<Output = Response<Body>> + Send + Sync + 'static,
 {
-    let event = |id: u64| Frame::data(Bytes::from(format!("id: {id}\ndata: event {id}\n\n")));
-    let events = stream::iter((after + 1..=after + count).map(move |id| Ok(event(id))));
-    let crash = stream::once(async {
+    let event = move |id: u64| Frame::data(Bytes::from(words.event(id)));
+    let events = iter((after + 1..=after + count).map(move |id| Ok(event(id))));
+    let crash = once(async {
         crash.await;
         Err(io::Error::other("crashed on request"))
     });
     let parts = futures_util::StreamExt::chain(events, crash);
-    let response = Response::new(StreamBody::new(parts).boxed());
-    with_header(response, "content-type", "text/event-stream")
+    Response::new(StreamBody::new(parts).boxed())
 }
 
 fn with_header(mut response: Response<Body>, name: &'static str, value: &str) -> Response<Body> {
@@ -403,27 +424,5 @@
         Ok(Frame::data(Bytes::from_static(b"half"))),
         Err(io::Error::other("truncated on request")),
     ];
-    Response::new(StreamBody::new(stream::iter(parts)).boxed())
-}
-
-/// Streams the events with an id above `after`. A truncated stream breaks off within its third
-/// event.
-fn events(after: u64, is_truncated: bool) -> Response<Body> {
-    let text = |id: u64| format!("id: {id}\ndata: event {id}\n\n");
-    let mut parts: Vec<Result<Frame<Bytes>, io::Error>> = (after + 1..=STREAM_EVENTS)
-        .map(|id| Ok(Frame::data(Bytes::from(text(id)))))
-        .collect();
-    if is_truncated {
-        parts.truncate(2);
-        parts.push(Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))));
-        parts.push(Err(io::Error::other("truncated on request")));
-    }
-    // The pause between parts makes each of them a separate chunk.
-    let parts = stream::unfold(parts.into_iter(), |mut parts| async {
-        let next = parts.next()?;
-        Timer::after(Duration::from_millis(2)).await;
-        Some((next, parts))
-    });
-    let response = Response::new(StreamBody::new(parts).boxed());
-    with_header(response, "content-type", "text/event-stream")
+    Response::new(StreamBody::new(iter(parts)).boxed())
 }
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod backend;
 pub mod store;
+pub mod stream;
