Reset connections whose closing would complete a broken body

What callers saw: a response to an HTTP/1.0 request ends with its connection. When its stream broke, the connection was closed in order, so that the part received looked complete; the same when the router ended within a stream. Cause: hyper reports the error of a body by ending the connection, and the listener closes that in order, which is right for responses with a length or chunks. Fix: from its head to its last byte, such a response has a linger time of zero on its socket. Whatever closes the socket before, a broken body, a timeout, a panic or the end of the process, resets the connection.

--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -47,6 +47,17 @@
     SlowReader,
 }
 
+/// State of a response whose end is the close of its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClosingBody {
+    /// The response, if there is one, has a length or chunks.
+    None,
+    /// The body has not been produced completely.
+    Open,
+    /// The body has been produced completely, but may not be written yet.
+    Ended,
+}
+
 #[derive(Debug)]
 struct State {
     phase: Phase,
@@ -54,6 +65,7 @@
     opened: Instant,
     has_request: bool,
     write_blocked_since: Option<Instant>,
+    closing_body: ClosingBody,
 }
 
 /// Progress of one connection, shared by its socket, its response bodies and its timeouts. Clones
@@ -73,6 +85,7 @@
                 opened: Instant::now(),
                 has_request: false,
                 write_blocked_since: None,
+                closing_body: ClosingBody::None,
             })),
         }
     }
@@ -108,6 +121,39 @@
         (!state.has_request).then(|| state.opened.elapsed())
     }
 
+    /// Records that the body of the current response ends with the connection.
+    pub fn begin_closing_body(&self) {
+        self.state.lock().closing_body = ClosingBody::Open;
+    }
+
+    /// Whether the connection must not end in order, since that would complete a response which was
+    /// not written to its end.
+    pub fn is_cut_off(&self) -> bool {
+        self.state.lock().closing_body != ClosingBody::None
+    }
+
+    fn end_body(&self) {
+        let mut state = self.state.lock();
+        if state.closing_body == ClosingBody::Open {
+            state.closing_body = ClosingBody::Ended;
+        }
+    }
+
+    /// Records that all produced bytes were written; returns whether they completed a response that
+    /// ends with the connection.
+    fn record_flush(&self) -> bool {
+        let mut state = self.state.lock();
+        if state.phase == Phase::Flushing {
+            state.phase = Phase::Idle;
+            state.since = Instant::now();
+        }
+        let is_completed = state.closing_body == ClosingBody::Ended;
+        if is_completed {
+            state.closing_body = ClosingBody::None;
+        }
+        is_completed
+    }
+
     /// Whether no request is being handled, so that bytes written now are hyper's own response.
     fn is_outside_request(&self) -> bool {
         matches!(self.state.lock().phase, Phase::Idle | Phase::Head)
@@ -193,7 +239,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(None)) {
+            self.progress.end_body();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -271,7 +321,9 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
         // hyper flushes the socket only after it has written its own buffer completely.
-        self.progress.change_phase(Phase::Flushing, Phase::Idle);
+        if self.progress.record_flush() {
+            self.socket.set_reset_on_close(false);
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,16 +11,17 @@
 use std::time::Duration;
 
 use futures_lite::{AsyncWriteExt, FutureExt, future};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, Version};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::error::{Error, Result};
 use crate::http::Body;
 use crate::http::guard::{self, CallerIo, ConnectionProgress, Expiry, TrackedBody};
 use crate::http::limits::ServerLimits;
+use crate::http::socket::set_reset_on_close;
 use crate::runtime::{Runtime, Shutdown};
 
 /// Size of the system's queue of connections that are not accepted yet. The standard library uses
@@ -160,6 +161,9 @@
     let _ = stream.set_nodelay(true);
     let progress = ConnectionProgress::open();
     let expiry = drive(&stream, limits, handle, stop, &progress).await;
+    if progress.is_cut_off() {
+        return;
+    }
     match expiry {
         Some(Expiry::SlowReader) => return,
         Some(Expiry::HeaderTimeout) => {
@@ -186,6 +190,7 @@
     let service = service_fn(|request| {
         progress.begin_request();
         let is_last = must_close(&request);
+        let has_chunks = request.version() >= Version::HTTP_11 || request.method() == Method::HEAD;
         // hyper reserves memory for this future in each connection, even an idle one. The box
         // avoids the memory for a request's state on idle connections.
         let response = Box::pin(handle(request));
@@ -196,6 +201,11 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
+            // hyper then ends the body with the connection.
+            if !has_chunks && response.body().size_hint().exact().is_none() {
+                progress.begin_closing_body();
+                set_reset_on_close(stream, true);
+            }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
         }
     });
--- a/src/http/server/tests.rs
+++ b/src/http/server/tests.rs
@@ -2,10 +2,11 @@
 use std::net::{Ipv4Addr, TcpStream as StdStream};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 
 use super::*;
-use crate::http::full_body;
+use crate::http::{BodyError, full_body};
 
 const REQUEST: &str = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -126,3 +127,35 @@
     stream.write_all(REQUEST.as_bytes()).unwrap();
     assert!(read_response(&mut stream).ends_with("done"));
 }
+
+/// Guards against a body that ends with its connection and looks complete although it was broken,
+/// and against one that looks broken although it is complete.
+#[test]
+fn serve_body_that_ends_with_the_connection_is_reset_if_broken() {
+    let runtime = Runtime::start(1);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let handle = |request: Request<Incoming>| async move {
+        let mut frames = vec![Ok(Frame::data(Bytes::from_static(b"part")))];
+        match request.uri().path() {
+            "/broken" => frames.push(Err(BodyError::Incomplete("broken"))),
+            "/panic" => frames.push(Err(BodyError::Incomplete("panics"))),
+            _ => {}
+        }
+        let frames = frames.into_iter().inspect(|frame| {
+            let panics = matches!(frame, Err(BodyError::Incomplete("panics")));
+            assert!(!panics, "a fault of the program");
+        });
+        Response::new(StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync())
+    };
+    let server = Server::bind(&runtime, address, ServerLimits::default(), handle).unwrap();
+    for (path, is_complete) in [("/whole", true), ("/broken", false), ("/panic", false)] {
+        let mut stream = connect(&server);
+        write!(stream, "GET {path} HTTP/1.0\r\nHost: x\r\n\r\n").unwrap();
+        let mut received = Vec::new();
+        let end = stream.read_to_end(&mut received);
+        assert_eq!(end.is_ok(), is_complete, "{path}: {end:?}");
+        if is_complete {
+            assert!(received.ends_with(b"part"), "{received:?}");
+        }
+    }
+}
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read as _, Write as _};
 use std::net::Shutdown;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
@@ -55,6 +56,12 @@
         SocketProbe(Arc::downgrade(&self.stream))
     }
 
+    /// Sets whether the connection is reset, instead of closed in order, when its socket is closed,
+    /// be it by the end of the process.
+    pub fn set_reset_on_close(&self, is_reset: bool) {
+        set_reset_on_close(&self.stream, is_reset);
+    }
+
     /// Reads at most as many bytes as fit the cursor. Returns their number, zero at the end of the
     /// stream.
     pub fn poll_fill(
@@ -95,6 +102,17 @@
     }
 }
 
+/// Sets whether closing the stream resets its connection, by a linger time of zero.
+pub fn set_reset_on_close<S>(stream: &S, is_reset: bool)
+where
+    S: AsFd,
+{
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(error) = rustix::net::sockopt::set_socket_linger(stream, linger) {
+        log::warn!("event=socket_option_failed option=linger error=\"{error}\"");
+    }
+}
+
 /// Checks whether a socket can still carry a request.
 #[derive(Debug, Clone)]
 pub struct SocketProbe(Weak<Async<std::net::TcpStream>>);
