Give each response the length of the body that is sent

Cause: all end-to-end fields of the first server were passed on, Content-Length among them, and hyper trusts a length that it is given: it ends the response there. The length frames the message on one connection, which each hop owns. Evidence: events=12 bytes=482 declared_bytes=465 outcome=caller_gone in the log of each cut answer; sound streams with a length ended as caller_gone too, and their servers' connections were not used again. Fix: http::framing passes on what is end to end, without the length; hyper adds the length of a body at hand and sends streams in chunks. Responses to HEAD and of status 304 keep theirs, which describes another response. Requests get the length of the body that was read. A 204 no longer bears a length. Before: five tests failed (cut, short, resumed twice, repeated events, resumed without events); five on whole bodies, requests and early ends passed and stay.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderMap};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, StatusCode};
 
 use crate::control::load::LoadTicket;
@@ -384,7 +384,15 @@
         .uri(&routed.path)
         .body(Full::new(routed.body.clone()));
     let mut request = request.map_err(|error| Failure::new(FailureKind::Connect, error))?;
-    *request.headers_mut() = state.backends.encode(&routed.headers, &attempt);
+    let mut headers = state.backends.encode(&routed.headers, &attempt);
+    let declares_body = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    if declares_body
+        .iter()
+        .any(|name| routed.headers.contains_key(name))
+    {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(routed.body.len()));
+    }
+    *request.headers_mut() = headers;
     Ok(request)
 }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -129,12 +129,10 @@
 
 /// Protocol between the gateway and backend servers.
 pub trait BackendProtocol: Send + Sync + 'static {
-    /// Builds the headers of an attempt from those of the caller's request.
+    /// Builds the headers of an attempt from those of the caller's request. The length of its body
+    /// is not among them.
     fn encode(&self, headers: &HeaderMap, attempt: &AttemptHead<'_>) -> HeaderMap;
 
     /// Decodes the head of a response to the request with this id.
     fn decode(&self, id: &RequestId, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
-
-    /// Headers of a server's response that are forwarded to the caller.
-    fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use crate::config::routing::{KeyOwner, Route, RoutingTable};
 use crate::decide::pause::can_wait;
@@ -25,6 +25,7 @@
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
 use crate::gateway::stream;
+use crate::http::framing::{end_to_end_fields, whole_body_fields};
 use crate::http::{Body, full_body};
 use crate::ids::{RunState, TeamId};
 use crate::runtime::with_timeout;
@@ -202,7 +203,8 @@
                 history.servers.len(),
                 state.now_ms().saturating_sub(routed.arrived_ms),
             );
-            forwarded_response(state, response.status, &response.headers, full_body(bytes))
+            let fields = whole_body_fields(&routed.method, response.status, &response.headers);
+            forwarded_response(response.status, fields, full_body(bytes))
         }
         ResponseBody::Stream(source) => {
             let (status, headers) = (response.status, response.headers);
@@ -211,20 +213,16 @@
                 .and_then(|value| value.to_str().ok());
             let declared_bytes = declared_bytes.and_then(|text| text.parse().ok());
             let body = stream::open(Arc::clone(state), routed, history, *source, declared_bytes);
-            forwarded_response(state, status, &headers, body)
+            // Other servers may go on with the stream, and repeated events are left out.
+            forwarded_response(status, end_to_end_fields(&headers), body)
         }
     })
 }
 
-fn forwarded_response(
-    state: &State,
-    status: hyper::StatusCode,
-    headers: &hyper::HeaderMap,
-    body: Body,
-) -> Response<Body> {
+fn forwarded_response(status: StatusCode, fields: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
-    *response.headers_mut() = state.backends.response_headers(headers);
+    *response.headers_mut() = fields;
     response
 }
 
--- /dev/null
+++ b/src/http/framing.rs
@@ -0,0 +1,65 @@
+//! Header fields of messages that are passed on. Each connection frames its messages by itself (RFC
+//! 9110, 7.6; RFC 9112, 6), so nothing that frames a message on one is a promise on the next.
+
+#[cfg(test)]
+mod tests;
+
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
+use hyper::{Method, StatusCode};
+
+/// Fields of a single connection (RFC 9110, 7.6.1).
+const CONNECTION_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Fields of a message that pass through from end to end: without those of its connection, without
+/// those that its sender lists in `Connection`, and without its length, which belongs to the body
+/// as it is sent.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+/// use jujubeusher::http::framing::end_to_end_fields;
+/// let fields = [("content-type", "text/plain"), ("content-length", "5"), ("te", "gzip")];
+/// let fields = fields.map(|(name, value)| {
+///     (HeaderName::from_static(name), HeaderValue::from_static(value))
+/// });
+/// let passed: HeaderMap = end_to_end_fields(&fields.into_iter().collect());
+/// assert_eq!(passed.keys().collect::<Vec<_>>(), ["content-type"]);
+/// ```
+pub fn end_to_end_fields(headers: &HeaderMap) -> HeaderMap {
+    let listed: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let is_passed = |name: &HeaderName| {
+        !CONNECTION_FIELDS.contains(&name.as_str())
+            && *name != CONTENT_LENGTH
+            && !listed.iter().any(|listed| listed == name.as_str())
+    };
+    let passed = headers.iter().filter(|(name, _)| is_passed(name));
+    passed
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Fields of a response whose body is passed on whole, or which has none. The length of a response
+/// to HEAD and of status 304 says how long another response would be, and stays.
+pub fn whole_body_fields(method: &Method, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
+    let mut passed = end_to_end_fields(headers);
+    let describes_another = *method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    if let Some(length) = headers.get(CONTENT_LENGTH).filter(|_| describes_another) {
+        passed.insert(CONTENT_LENGTH, length.clone());
+    }
+    passed
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod event_body;
 pub mod event_wait;
 pub mod first_byte;
+pub mod framing;
 pub mod guard;
 pub mod lazy_timer;
 pub mod limits;
