Pass on no digest, entity tag or range with a stream

Fields that describe the bytes of one server's body were passed on with streams, which other servers may go on with and from which repeated events are left out: a caller that checks a digest takes a sound joined answer for a damaged one, and one that caches by entity tag mixes two runs up.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -25,7 +25,7 @@
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
 use crate::gateway::stream;
-use crate::http::framing::{end_to_end_fields, whole_body_fields};
+use crate::http::framing::{joined_body_fields, whole_body_fields};
 use crate::http::{Body, full_body};
 use crate::ids::{RunState, TeamId};
 use crate::runtime::with_timeout;
@@ -214,7 +214,7 @@
             let declared_bytes = declared_bytes.and_then(|text| text.parse().ok());
             let body = stream::open(Arc::clone(state), routed, history, *source, declared_bytes);
             // Other servers may go on with the stream, and repeated events are left out.
-            forwarded_response(status, end_to_end_fields(&headers), body)
+            forwarded_response(status, joined_body_fields(&headers), body)
         }
     })
 }
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -4,7 +4,9 @@
 #[cfg(test)]
 mod tests;
 
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
+use hyper::header::{
+    ACCEPT_RANGES, CONNECTION, CONTENT_LENGTH, CONTENT_RANGE, ETAG, HeaderMap, HeaderName,
+};
 use hyper::{Method, StatusCode};
 
 /// Fields of a single connection (RFC 9110, 7.6.1).
@@ -20,6 +22,18 @@
     "upgrade",
 ];
 
+/// Fields that describe the bytes of one server's body: digests (RFC 9530, and RFC 3230 and 1864
+/// before it), the entity tag, and ranges.
+const BODY_FIELDS: [HeaderName; 7] = [
+    HeaderName::from_static("content-digest"),
+    HeaderName::from_static("repr-digest"),
+    HeaderName::from_static("digest"),
+    HeaderName::from_static("content-md5"),
+    ETAG,
+    ACCEPT_RANGES,
+    CONTENT_RANGE,
+];
+
 /// Fields of a message that pass through from end to end: without those of its connection, without
 /// those that its sender lists in `Connection`, and without its length, which belongs to the body
 /// as it is sent.
@@ -63,3 +77,13 @@
     }
     passed
 }
+
+/// Fields of a response whose body is not that of one server: others may go on with it, and events
+/// may be left out.
+pub fn joined_body_fields(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = end_to_end_fields(headers);
+    for name in BODY_FIELDS {
+        passed.remove(name);
+    }
+    passed
+}
--- a/src/http/framing/tests.rs
+++ b/src/http/framing/tests.rs
@@ -39,3 +39,18 @@
     assert!(!length(Method::GET, StatusCode::OK));
     assert!(!length(Method::GET, StatusCode::NO_CONTENT));
 }
+
+/// Guards against a digest or an entity tag of one server's body on a joined one.
+#[test]
+fn joined_body_fields_describe_no_bytes() {
+    let sent = headers(&[
+        ("content-length", "17"),
+        ("content-digest", "sha-256=:AA==:"),
+        ("etag", "\"a\""),
+        ("content-range", "bytes 0-8/99"),
+        ("cache-control", "no-store"),
+    ]);
+    let passed = joined_body_fields(&sent);
+    let names: Vec<&str> = passed.keys().map(HeaderName::as_str).collect();
+    assert_eq!(names, ["cache-control"]);
+}
