Decide in one place whether a response is a stream that others may go on with

What callers saw in a test: a resumed stream to which the body of another kind of response was joined (JSON, 202), or that ended as complete with a 204; and 502 for a whole answer in JSON on the route of a stream. Cause: each success on the route of a stream counted as a stream, first run and resumed run alike. Fix: it is one if its type is that of events, or not stated, and it may have a body of its own; any other is passed on whole. A stream goes on only with a stream of the same status; otherwise it ends as incomplete, with event=resume_refused in the log. The chats' interface reads the media type with the same function. resumed_run_of_another_kind_is_not_joined and answer_without_events_on_a_stream_route_arrives_whole failed before and pass now.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 
@@ -20,6 +20,7 @@
 use crate::filter::call::Call;
 use crate::filter::cancel::CancelGuard;
 use crate::http::event_wait::EventWait;
+use crate::http::framing;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::pool::{Connection, SendError};
 use crate::http::sse::{Decoder, Event};
@@ -398,6 +399,5 @@
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE);
-    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    framing::media_type(headers).is_some_and(|media_type| media_type == "text/event-stream")
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, StatusCode};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, StatusCode};
 
 use crate::control::load::LoadTicket;
 use crate::decide::load::Report;
@@ -22,6 +23,7 @@
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
+use crate::http::framing;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::memory_budget::MemoryShare;
 use crate::http::pool::{Connection, SendError};
@@ -318,7 +320,7 @@
         is_success,
     );
     validate_response(&response_head, &head.headers)?;
-    let is_event_stream = routed.route.is_stream && head.status.is_success();
+    let is_event_stream = routed.route.is_stream && is_event_stream(&routed.method, &head);
     let body = match is_event_stream {
         true => {
             let mut source = EventSource {
@@ -396,6 +398,20 @@
     Ok(request)
 }
 
+/// Whether a response on the route of a stream is one. Any other has a body that is passed on whole:
+/// a part of a representation and responses without a body cannot be resumed, nor can other types.
+fn is_event_stream(method: &Method, head: &Parts) -> bool {
+    let has_whole_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT | StatusCode::PARTIAL_CONTENT
+    );
+    let media_type = framing::media_type(&head.headers);
+    head.status.is_success()
+        && !has_whole_body
+        && *method != Method::HEAD
+        && media_type.is_none_or(|media_type| media_type == "text/event-stream")
+}
+
 /// Fails unless the response is a valid one to this request.
 fn validate_response(response_head: &ResponseHead, headers: &HeaderMap) -> Result<(), Failure> {
     let failed = |kind, reason: &str| Err(Failure::new(kind, reason));
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -24,7 +24,7 @@
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
-use crate::gateway::stream;
+use crate::gateway::stream::{self, FirstHead};
 use crate::http::framing::{joined_body_fields, whole_body_fields};
 use crate::http::{Body, full_body};
 use crate::ids::{RunState, TeamId};
@@ -211,8 +211,11 @@
             let declared_bytes = headers
                 .get(CONTENT_LENGTH)
                 .and_then(|value| value.to_str().ok());
-            let declared_bytes = declared_bytes.and_then(|text| text.parse().ok());
-            let body = stream::open(Arc::clone(state), routed, history, *source, declared_bytes);
+            let first = FirstHead {
+                status,
+                declared_bytes: declared_bytes.and_then(|text| text.parse().ok()),
+            };
+            let body = stream::open(Arc::clone(state), routed, history, *source, first);
             // Other servers may go on with the stream, and repeated events are left out.
             forwarded_response(status, joined_body_fields(&headers), body)
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::StatusCode;
 use hyper::body::Frame;
 
 use crate::gateway::attempt::{EventSource, ResponseBody, StreamError};
@@ -43,20 +44,27 @@
     events: u64,
     /// Bytes passed to the connection with the caller.
     bytes: u64,
-    /// Length that the first server declared for its body; a resumed stream may have another one.
-    declared_bytes: Option<u64>,
+    first: FirstHead,
     outcome: &'static str,
     _in_flight: InFlightGuard,
 }
 
-/// Opens the body of a stream whose first events come from `source`, a server that declared this
-/// length of its body.
+/// What the head of a stream's first response says, which the caller receives.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstHead {
+    /// Its status.
+    pub status: StatusCode,
+    /// Length that the first server declared for its body; a resumed stream may have another one.
+    pub declared_bytes: Option<u64>,
+}
+
+/// Opens the body of a stream that began with this head and whose first events come from `source`.
 pub fn open(
     state: Arc<State>,
     routed: RoutedRequest,
     history: AttemptHistory,
     source: EventSource,
-    declared_bytes: Option<u64>,
+    first: FirstHead,
 ) -> Body {
     let relay = StreamRelay {
         _in_flight: state.track_request(),
@@ -66,7 +74,7 @@
         has_answered: false,
         events: 0,
         bytes: 0,
-        declared_bytes,
+        first,
         outcome: "caller_gone",
         source: Some(source),
         state,
@@ -225,14 +233,21 @@
             self.last_event,
         )
         .await;
-        match resumed.map(|response| (response.status.is_success(), response.body)) {
-            Ok((true, ResponseBody::Stream(source))) => {
+        match resumed.map(|response| (response.status, response.body)) {
+            Ok((status, ResponseBody::Stream(source))) if status == self.first.status => {
                 self.source = Some(*source);
                 self.begun_ms = self.state.now_ms();
                 self.has_answered = false;
                 Ok(())
             }
-            Ok(_) => {
+            Ok((status, _)) => {
+                log::info!(
+                    "event=resume_refused id={} server={} status={} first_status={}",
+                    self.routed.id,
+                    self.history.servers.last().map_or("-", |s| s.as_str()),
+                    status.as_u16(),
+                    self.first.status.as_u16(),
+                );
                 self.outcome = "resume_refused";
                 Err(BodyError::Incomplete("no server resumed the stream"))
             }
@@ -251,7 +266,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.state.metrics.count_stream(self.outcome, self.events);
-        let declared_bytes = self.declared_bytes.map(|bytes| bytes.to_string());
+        let declared_bytes = self.first.declared_bytes.map(|bytes| bytes.to_string());
         log::info!(
             "event=streamed id={} route={} service={} server={} outcome={} events={} bytes={} \
              declared_bytes={} sends={} ms={}",
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -5,7 +5,8 @@
 mod tests;
 
 use hyper::header::{
-    ACCEPT_RANGES, CONNECTION, CONTENT_LENGTH, CONTENT_RANGE, ETAG, HeaderMap, HeaderName,
+    ACCEPT_RANGES, CONNECTION, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE, ETAG, HeaderMap,
+    HeaderName,
 };
 use hyper::{Method, StatusCode};
 
@@ -87,3 +88,18 @@
     }
     passed
 }
+
+/// Type of a body in lower case, without parameters; `None` if it is not stated or not text.
+///
+/// ```
+/// use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+/// use jujubeusher::http::framing::media_type;
+/// let value = HeaderValue::from_static("Text/Event-Stream; charset=utf-8");
+/// let headers = HeaderMap::from_iter([(CONTENT_TYPE, value)]);
+/// assert_eq!(media_type(&headers).as_deref(), Some("text/event-stream"));
+/// ```
+pub fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next().unwrap_or_default();
+    Some(media_type.trim().to_ascii_lowercase())
+}
