Go on with a stream only where its events have a place after those delivered

What callers saw in a test: events twice, when a stream without ids broke and another server began anew; events without ids joined to numbered ones; and a stream that looked complete after a resumed run that counted from 1 again, all of whose events were left out as repeated. Cause: an event without an id counted as new, whatever came before, and the end of a run as the end of the stream. Fix: a stream is not resumed while the last delivered event has no id, a resumed run must number its events with data, and one that ends below the last id delivered has not gone on. A run that ends without any event completes the stream, as before. resumed_events_without_a_place_are_not_joined and stream_without_ids_is_not_resumed failed before and pass now; resumed_run_without_events_completes_the_stream and repeated_events_leave_no_gap_in_the_length hold.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -138,6 +138,9 @@
     /// The connection broke, or the stream ended within an event.
     #[error("the stream broke off")]
     Broken,
+    /// The events of a resumed stream cannot be placed after those that the caller has.
+    #[error("the stream did not go on where the one before broke off")]
+    NotResumed,
 }
 
 /// Maximum size of the blocks without data before the first event.
@@ -342,7 +345,9 @@
             let first = while_reachable(state, server, source.read_first(wait)).await;
             first.map_err(unreachable)?.map_err(|cause| match cause {
                 StreamError::Stalled => timed_out(),
-                StreamError::Broken => Failure::new(FailureKind::Broken, cause),
+                StreamError::Broken | StreamError::NotResumed => {
+                    Failure::new(FailureKind::Broken, cause)
+                }
             })?;
             ResponseBody::Stream(Box::new(source))
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -28,6 +28,13 @@
 /// Allowed gap between events if the route sets none.
 const GAP_DEFAULT_MS: u64 = 1_000;
 
+/// What a run that goes on with an earlier one has sent.
+#[derive(Debug, Clone, Copy, Default)]
+struct ResumedRun {
+    /// Highest id of its events.
+    highest_id: Option<u64>,
+}
+
 /// A stream in progress between servers and a caller.
 struct StreamRelay {
     state: Arc<State>,
@@ -35,6 +42,13 @@
     history: AttemptHistory,
     source: Option<EventSource>,
     last_event: Option<u64>,
+    /// Whether an event with data and without an id came after the last id, so that no other run
+    /// can go on where this one breaks.
+    has_unnumbered: bool,
+    /// The current run, if it goes on with an earlier one.
+    resumed: Option<ResumedRun>,
+    /// Error of the current run that was found among received events, after those delivered last.
+    failure: Option<StreamError>,
     /// Time of the last event with data, or of the last recovery.
     progress_ms: u64,
     /// Time of the first event of the current server.
@@ -69,6 +83,9 @@
     let relay = StreamRelay {
         _in_flight: state.track_request(),
         last_event: routed.last_event,
+        has_unnumbered: false,
+        resumed: None,
+        failure: None,
         progress_ms: state.now_ms(),
         begun_ms: state.now_ms(),
         has_answered: false,
@@ -99,6 +116,10 @@
     /// Returns the next events, joined; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
+            if let Some(cause) = self.failure.take() {
+                self.recover(cause).await?;
+                self.progress_ms = self.state.now_ms();
+            }
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
@@ -131,6 +152,7 @@
                         return Ok(Some(bytes));
                     }
                 }
+                Ok(None) if self.is_behind() => self.failure = Some(StreamError::NotResumed),
                 Ok(None) => {
                     self.outcome = "complete";
                     if let Some(source) = self.source.take() {
@@ -141,14 +163,18 @@
                     }
                     return Ok(None);
                 }
-                Err(cause) => {
-                    self.recover(cause).await?;
-                    self.progress_ms = self.state.now_ms();
-                }
+                Err(cause) => self.failure = Some(cause),
             }
         }
     }
 
+    /// Whether the current run sent events again, but none up to the last one that the caller has: it
+    /// counts anew and did not go on there.
+    fn is_behind(&self) -> bool {
+        let highest_id = self.resumed.and_then(|run| run.highest_id);
+        highest_id.is_some() && highest_id < self.last_event
+    }
+
     /// Records that no part of the prompt crashes each server that begins to answer.
     fn record_answer(&mut self, now_ms: u64) {
         if !self.has_answered {
@@ -164,6 +190,10 @@
         let mut single = None;
         let mut next = Some(event);
         while let Some(event) = next {
+            if self.resumed.is_some() && event.id.is_none() && event.is_progress() {
+                self.failure = Some(StreamError::NotResumed);
+                break;
+            }
             if self.is_new(&event) {
                 self.events += 1;
                 match single.take() {
@@ -186,8 +216,13 @@
     /// Records an event's number; false if the event was delivered before.
     fn is_new(&mut self, event: &RawEvent) -> bool {
         let Some(id) = event.id else {
+            self.has_unnumbered |= event.is_progress();
             return true;
         };
+        self.has_unnumbered = false;
+        if let Some(run) = &mut self.resumed {
+            run.highest_id = run.highest_id.max(Some(id));
+        }
         let is_new = self.last_event.is_none_or(|last| id > last);
         if is_new {
             self.last_event = Some(id);
@@ -204,8 +239,9 @@
             let (state, routed) = (&self.state, &self.routed);
             crash::check(state, routed, &registration, sent_ms, self.has_answered).await;
         }
-        let can_resume =
-            self.routed.route.can_resume && may_repeat(&self.state, &self.routed, &self.history);
+        let can_resume = self.routed.route.can_resume
+            && !self.has_unnumbered
+            && may_repeat(&self.state, &self.routed, &self.history);
         log::info!(
             "event=stream_broken id={} server={} cause=\"{cause}\" last_event={} resumes={can_resume}",
             self.routed.id,
@@ -236,6 +272,7 @@
         match resumed.map(|response| (response.status, response.body)) {
             Ok((status, ResponseBody::Stream(source))) if status == self.first.status => {
                 self.source = Some(*source);
+                self.resumed = Some(ResumedRun::default());
                 self.begun_ms = self.state.now_ms();
                 self.has_answered = false;
                 Ok(())
