Pass on no body in a coding that its headers no longer state

What callers saw in tests: the bytes of a body in the transfer coding gzip as if they were the body, also cut off unnoticed where the coding is not chunked and the connection ends; on the chats' interface the same for a content coding, since Content-Encoding is not passed on. A server got the coded bytes of a request as its body. Cause: Transfer-Encoding is a field of one connection and is dropped, but only the coding chunked is decoded; the chats' interface passes on the type of a body and nothing else of it.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 
@@ -44,7 +44,7 @@
     /// The response carries the id of another attempt, or none.
     WrongAttempt,
     /// The end of the body cannot be distinguished from a broken connection, or the body is
-    /// too large.
+    /// too large or in a coding that was not requested.
     UnusableBody,
     /// The server responded with a status that says it cannot serve the request, or refused to
     /// resume a stream.
@@ -274,6 +274,7 @@
     let (response, connection) = sent.ok_or_else(timeout_error)??;
     check_attempt_id(&response, attempt)?;
     check_status(&response)?;
+    check_coding(response.headers())?;
     let (head, body) = response.into_parts();
     if call.is_stream && is_event_stream(&head.headers) {
         let mut source = EventSource::new(address, connection, body);
@@ -344,6 +345,7 @@
         return Err(AttemptError::unknown(FailureKind::Status, reason));
     }
     check_attempt_id(&response, &upstream.attempt)?;
+    check_coding(response.headers())?;
     let mut source = EventSource::new(upstream.address, connection, response.into_body());
     source.read_first(wait).await.map_err(|cause| match cause {
         StreamError::Stalled => timeout_error(),
@@ -383,6 +385,16 @@
     Err(error)
 }
 
+/// Rejects a body in a coding that was not requested: the caller gets neither the field that states
+/// it nor the connection that it applies to.
+pub(super) fn check_coding(headers: &HeaderMap) -> Result<(), AttemptError> {
+    if !headers.contains_key(CONTENT_ENCODING) && !framing::is_transfer_coded(headers) {
+        return Ok(());
+    }
+    let reason = "the answer has a coding that was not requested";
+    Err(AttemptError::unknown(FailureKind::UnusableBody, reason))
+}
+
 /// Rejects a body that is delimited only by the end of the connection, because a lost
 /// connection would look the same.
 fn check_framing(method: &Method, head: &Parts) -> Result<(), AttemptError> {
--- a/src/filter/dispatch_once.rs
+++ b/src/filter/dispatch_once.rs
@@ -23,7 +23,7 @@
 use crate::control::claims::HeldClaim;
 use crate::control::load::LoadTicket;
 use crate::edge::BoxFuture;
-use crate::filter::attempt::check_attempt_id;
+use crate::filter::attempt::{check_attempt_id, check_coding};
 use crate::filter::call::{Call, upstream_request};
 use crate::filter::dispatch::strike_if_dead;
 use crate::filter::limit::deadline_refusal;
@@ -448,6 +448,9 @@
     if parts.status == StatusCode::SERVICE_UNAVAILABLE && is_reported_not_run {
         return AttemptOutcome::NotRun("the server says that nothing ran".to_owned());
     }
+    if let Err(error) = check_coding(&parts.headers) {
+        return AttemptOutcome::Unknown(error.reason);
+    }
     // A body delimited only by the end of the connection cannot be distinguished from a truncated
     // one.
     let is_delimited =
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -322,7 +322,7 @@
         started_ms,
         is_success,
     );
-    validate_response(&response_head, &head.headers)?;
+    validate_response(&response_head, &head)?;
     let is_event_stream = routed.route.is_stream && is_event_stream(&routed.method, &head);
     let body = match is_event_stream {
         true => {
@@ -418,7 +418,7 @@
 }
 
 /// Fails unless the response is a valid one to this request.
-fn validate_response(response_head: &ResponseHead, headers: &HeaderMap) -> Result<(), Failure> {
+fn validate_response(response_head: &ResponseHead, head: &Parts) -> Result<(), Failure> {
     let failed = |kind, reason: &str| Err(Failure::new(kind, reason));
     // A late second copy of an earlier refusal says nothing of this request.
     if response_head.has_other_id {
@@ -442,7 +442,13 @@
             "the response belongs to another request",
         );
     }
-    if headers.contains_key(CONTENT_ENCODING) {
+    if framing::is_transfer_coded(&head.headers) {
+        return failed(
+            FailureKind::Foreign,
+            "the response has a transfer coding that was not requested",
+        );
+    }
+    if head.headers.contains_key(CONTENT_ENCODING) {
         return failed(
             FailureKind::Foreign,
             "the response has a content encoding that was not requested",
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -6,7 +6,7 @@
 
 use hyper::header::{
     ACCEPT_RANGES, CONNECTION, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE, ETAG, HeaderMap,
-    HeaderName,
+    HeaderName, TRANSFER_ENCODING,
 };
 use hyper::{Method, StatusCode};
 
@@ -103,3 +103,22 @@
     let media_type = value.split(';').next().unwrap_or_default();
     Some(media_type.trim().to_ascii_lowercase())
 }
+
+/// Whether a message has a transfer coding other than `chunked`. It frames the message on its
+/// connection alone, but hyper decodes only `chunked`, so that the body would be passed on in a
+/// coding that no field states.
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+/// use jujubeusher::http::framing::is_transfer_coded;
+/// let coded = |value| {
+///     is_transfer_coded(&HeaderMap::from_iter([(TRANSFER_ENCODING, HeaderValue::from_static(value))]))
+/// };
+/// assert!(!coded("Chunked"));
+/// assert!(coded("gzip, chunked"));
+/// ```
+pub fn is_transfer_coded(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    codings.any(|coding| !coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -385,6 +385,16 @@
     )
 }
 
+/// The refusal of a request whose body is in a coding that only its connection states.
+pub fn transfer_coding_refusal() -> Refusal {
+    Refusal::not_run(
+        StatusCode::NOT_IMPLEMENTED,
+        "transfer_coding",
+        "the transfer coding of the body is not supported",
+        "send the body with a length or in chunks",
+    )
+}
+
 /// The refusal of a connection beyond the maximum number of connections.
 pub fn too_many_connections_refusal() -> Refusal {
     Refusal::not_run(
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,9 +19,11 @@
 
 use crate::error::{Error, Result};
 use crate::http::Body;
+use crate::http::framing;
 use crate::http::guard::{self, CallerIo, ConnectionProgress, Expiry, TrackedBody};
 use crate::http::limits::ServerLimits;
 use crate::http::socket::set_reset_on_close;
+use crate::ids::RequestId;
 use crate::runtime::{Runtime, Shutdown};
 
 /// Size of the system's queue of connections that are not accepted yet. The standard library uses
@@ -193,10 +195,16 @@
         let has_chunks = request.version() >= Version::HTTP_11 || request.method() == Method::HEAD;
         // hyper reserves memory for this future in each connection, even an idle one. The box
         // avoids the memory for a request's state on idle connections.
-        let response = Box::pin(handle(request));
+        let response = match framing::is_transfer_coded(request.headers()) {
+            true => Err(guard::transfer_coding_refusal()),
+            false => Ok(Box::pin(handle(request))),
+        };
         let progress = progress.clone();
         async move {
-            let mut response = response.await;
+            let mut response = match response {
+                Ok(response) => response.await,
+                Err(refusal) => refusal.into_response(&RequestId::random()),
+            };
             if is_last {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -202,6 +202,10 @@
         &attempt
     };
     set_attempt(&mut response, echoed);
+    if faults.is_encoded {
+        let gzip = HeaderValue::from_static("gzip");
+        response.headers_mut().insert("content-encoding", gzip);
+    }
     response
         .headers_mut()
         .insert("x-cache", HeaderValue::from_static(hit));
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -104,6 +104,8 @@
     /// Sends responses with neither a content length nor chunked encoding; of those that are not
     /// streamed only half of the body.
     pub is_unframed: bool,
+    /// Sends responses with a content coding that was not requested.
+    pub is_encoded: bool,
     /// Responds with this status without running the request.
     pub status: Option<u16>,
 }
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -9,7 +9,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::json;
@@ -40,6 +40,8 @@
     MisattributedNotRun,
     /// Runs the call; the response ends before its announced length.
     TruncatedResponse,
+    /// Runs the call; the response has a content coding that was not requested.
+    EncodedResponse,
 }
 
 /// One executed call.
@@ -192,6 +194,12 @@
         Fault::ResetAfterRun => close_connection(),
         Fault::MisattributedResponse => completed(text, "another-attempt"),
         Fault::TruncatedResponse => truncated(&text, &attempt),
+        Fault::EncodedResponse => {
+            let mut response = completed(text, &attempt);
+            let gzip = HeaderValue::from_static("gzip");
+            response.headers_mut().insert(CONTENT_ENCODING, gzip);
+            response
+        }
         Fault::Slow(pause) => {
             smol::Timer::after(pause).await;
             completed(text, &attempt)
@@ -229,6 +237,6 @@
     let mut response = Response::new(BodyExt::boxed(http_body_util::StreamBody::new(parts)));
     response
         .headers_mut()
-        .insert(hyper::header::CONTENT_LENGTH, text.len().into());
+        .insert(CONTENT_LENGTH, text.len().into());
     with_attempt(response, attempt)
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -110,6 +110,7 @@
         Fault::MisattributedResponse,
         Fault::MisattributedNotRun,
         Fault::TruncatedResponse,
+        Fault::EncodedResponse,
     ];
     let mut expected_runs = 0;
     for (index, fault) in faults.into_iter().enumerate() {
@@ -130,7 +131,10 @@
         env.clear_faults();
         let does_run = matches!(
             fault,
-            Fault::ResetAfterRun | Fault::MisattributedResponse | Fault::TruncatedResponse
+            Fault::ResetAfterRun
+                | Fault::MisattributedResponse
+                | Fault::TruncatedResponse
+                | Fault::EncodedResponse
         );
         expected_runs += usize::from(does_run);
         assert_eq!(env.runs().len(), expected_runs, "{fault:?}");
--- a/tests/response_integrity.rs
+++ b/tests/response_integrity.rs
@@ -206,6 +206,23 @@
     }
 }
 
+/// Guards against a body that is passed on without the field that states its coding.
+#[test]
+fn response_with_a_content_coding_is_rejected() {
+    let (env, router) = open(2, |options| options);
+    for engine in &env.engines {
+        engine.set_faults(Faults {
+            is_encoded: true,
+            ..Faults::default()
+        });
+    }
+    for body in [stream_body("c"), stream_body("c").replace("true", "false")] {
+        let response = read_response(send_chat(router.address, "c", "", &body));
+        assert_eq!(response.status, 502, "{response:?}");
+        assert_eq!(response.header("x-run-state"), Some("unknown"));
+    }
+}
+
 /// Guards against a failure of a stream that has neither a length nor chunks and ends with its
 /// connection: its last event tells that it is complete. If it ends before that, it is resumed.
 #[test]
