Take a switch of protocols for no answer

What callers saw in a test: 101 of a server, which only says that the connection to it changes, passed on as the response to their request; the next request on the kept connection got none. Cause: any signed status counted as a response; hyper hands out 101 as one. Fix: a signed response with status 1xx is no answer to the request, which may have run. switch_of_protocols_is_no_answer failed before and passes now.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -442,6 +442,12 @@
             "the response belongs to another request",
         );
     }
+    if head.status.is_informational() {
+        return failed(
+            FailureKind::Foreign,
+            "the server changed to a protocol that was not requested",
+        );
+    }
     if framing::is_transfer_coded(&head.headers) {
         return failed(
             FailureKind::Foreign,
