--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,22 +12,20 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
 
-use crate::control::load::LoadTicket;
 use crate::decide::load::Report;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
-use crate::edge::clock::Clock;
-use crate::gateway::prompts_in_flight::PromptGuard;
+use crate::gateway::event_source::{EventSource, StreamError, return_to_pool};
 use crate::gateway::protocol::{AttemptHead, LimitNotice, LoadReport, ResponseHead};
-use crate::gateway::reachability::{LastActivity, while_reachable};
+use crate::gateway::reachability::while_reachable;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
 use crate::http::framing;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::memory_budget::MemoryShare;
-use crate::http::pool::{Connection, SendError};
-use crate::http::raw_events::{RawEvent, RawEventDecoder};
+use crate::http::pool::SendError;
+use crate::http::raw_events::RawEventDecoder;
 use crate::ids::RunState;
 use crate::runtime::with_timeout;
 
@@ -129,138 +127,6 @@
     pub body: ResponseBody,
 }
 
-/// Why reading a stream failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum StreamError {
-    /// No event arrived in time.
-    #[error("no event came in time")]
-    Stalled,
-    /// The connection broke, or the stream ended within an event.
-    #[error("the stream broke off")]
-    Broken,
-    /// The events of a resumed stream cannot be placed after those that the caller has.
-    #[error("the stream did not go on where the one before broke off")]
-    NotResumed,
-}
-
-/// Maximum size of the blocks without data before the first event.
-const LEADING_BLOCKS_MAX_BYTES: usize = 16 * 1024;
-
-/// The events of a stream from one server.
-pub struct EventSource {
-    /// Server that sends the stream.
-    pub server: Registration,
-    last_activity: LastActivity,
-    clock: Arc<dyn Clock>,
-    connection: Option<Connection>,
-    body: Incoming,
-    events: RawEventDecoder,
-    timer: LazyTimer,
-    first: VecDeque<RawEvent>,
-    memory: MemoryShare,
-    keep_alive: Option<Duration>,
-    _load: LoadTicket,
-    _prompt: Option<PromptGuard>,
-}
-
-impl EventSource {
-    /// Reads the first event with data and keeps it, with the blocks before it, for `next_event`.
-    async fn read_first(&mut self, wait: EventWait) -> Result<(), StreamError> {
-        let started_ms = self.clock.monotonic_ms();
-        let mut kept_bytes = 0;
-        loop {
-            let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
-            let Some(event) = self.read_event(wait.after(elapsed_ms)).await? else {
-                return Ok(());
-            };
-            let is_progress = event.is_progress();
-            kept_bytes += event.bytes.len();
-            self.first.push_back(event);
-            if is_progress {
-                return Ok(());
-            }
-            if kept_bytes > LEADING_BLOCKS_MAX_BYTES {
-                return Err(StreamError::Stalled);
-            }
-        }
-    }
-
-    /// Reads the next event; `None` at the end of the stream.
-    pub async fn next_event(&mut self, wait: EventWait) -> Result<Option<RawEvent>, StreamError> {
-        match self.first.pop_front() {
-            Some(event) => Ok(Some(event)),
-            None => self.read_event(wait).await,
-        }
-    }
-
-    /// Reads until an event is complete. A byte now and then does not extend the wait, but a part
-    /// of an event does that arrives at a fair rate.
-    async fn read_event(&mut self, wait: EventWait) -> Result<Option<RawEvent>, StreamError> {
-        let started_ms = self.clock.monotonic_ms();
-        let mut received_bytes = 0;
-        loop {
-            if let Some(event) = self.events.next_event().map_err(|_| StreamError::Broken)? {
-                return Ok(Some(event));
-            }
-            if !self.memory.try_hold(self.events.buffered_bytes()) {
-                return Err(StreamError::Broken);
-            }
-            let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
-            let Some(remaining) = wait.remaining(elapsed_ms, received_bytes) else {
-                return Err(StreamError::Stalled);
-            };
-            match self.timer.with_timeout(remaining, self.body.frame()).await {
-                None => return Err(StreamError::Stalled),
-                Some(None) if self.events.is_empty() => return Ok(None),
-                Some(None | Some(Err(_))) => return Err(StreamError::Broken),
-                Some(Some(Ok(frame))) => {
-                    self.last_activity.record(self.clock.monotonic_ms());
-                    if let Some(bytes) = frame.data_ref() {
-                        received_bytes += bytes.len() as u64;
-                        self.events.push(bytes);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns the next event that has been received already, if there is one.
-    pub fn buffered_event(&mut self) -> Result<Option<RawEvent>, StreamError> {
-        if let Some(event) = self.first.pop_front() {
-            return Ok(Some(event));
-        }
-        self.events.next_event().map_err(|_| StreamError::Broken)
-    }
-
-    /// Returns the connection to the pool after the end of the stream.
-    pub fn release_connection(mut self, state: &State) {
-        if let Some(connection) = self.connection.take() {
-            return_to_pool(state, &self.server, connection, self.keep_alive);
-        }
-    }
-}
-
-/// Time before a server's announced close at which a connection is no longer reused, since a
-/// request could cross the close.
-const IDLE_TIME_MARGIN: Duration = Duration::from_millis(700);
-/// Time for which an idle connection is kept if the server states none.
-const IDLE_TIME_DEFAULT: Duration = Duration::from_secs(4);
-
-fn return_to_pool(
-    state: &State,
-    server: &Registration,
-    connection: Connection,
-    keep_alive: Option<Duration>,
-) {
-    let idle_time = keep_alive.map_or(IDLE_TIME_DEFAULT, |time| {
-        time.saturating_sub(IDLE_TIME_MARGIN)
-    });
-    let idle_max = state.idle_connections_max(&server.service);
-    state
-        .pool
-        .release_with_limits(server.address, connection, idle_time, idle_max);
-}
-
 /// Limits of one attempt.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptLimits {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod caller_timeouts;
 pub mod crash;
+pub mod event_source;
 pub mod fleet_totals;
 pub mod freshness;
 pub mod mirror;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,8 +9,9 @@
 use hyper::StatusCode;
 use hyper::body::Frame;
 
-use crate::gateway::attempt::{EventSource, ResponseBody, StreamError};
+use crate::gateway::attempt::ResponseBody;
 use crate::gateway::crash;
+use crate::gateway::event_source::{EventSource, StreamError};
 use crate::gateway::reachability::while_reachable;
 use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
