Let no late heartbeat bring back a server that has left

Cause: the store may perform a heartbeat seconds late. While the server is known, an older row is outdated; when its row was removed, only its incarnation was remembered, so that any row of it counted as a new server. Fix: the number of the last heartbeat is remembered with a server that has left, and older rows stay outdated.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -96,6 +96,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Departed {
     incarnation: Incarnation,
+    /// Number of the last heartbeat known of this incarnation.
+    sequence: u64,
     has_announced_leaving: bool,
 }
 
@@ -137,6 +139,9 @@
     /// Applies a server's row.
     pub fn set(&mut self, new: Registration, now_ms: u64) -> Change {
         let Some(entry) = self.entries.get_mut(&new.id) else {
+            if self.is_older_than_departed(&new) {
+                return Change::Outdated;
+            }
             let has_announced_leaving = self.has_announced_leaving(&new);
             let change = match (new.is_leaving, has_announced_leaving) {
                 (true, _) => Change::None,
@@ -169,6 +174,15 @@
         }
     }
 
+    /// Whether a row is older than the last one known of its server, which has left: the store may
+    /// perform a heartbeat seconds late, after newer ones and the removal of the row.
+    fn is_older_than_departed(&self, row: &Registration) -> bool {
+        let departed = self.left.get(&row.id);
+        departed.is_some_and(|departed| {
+            (row.incarnation, row.sequence) < (departed.incarnation, departed.sequence)
+        })
+    }
+
     /// Whether a server that has left had announced it in this incarnation or a later one.
     fn has_announced_leaving(&self, registration: &Registration) -> bool {
         let departed = self.left.get(&registration.id);
@@ -223,6 +237,7 @@
         };
         let departed = Departed {
             incarnation: entry.registration.incarnation,
+            sequence: entry.registration.sequence,
             has_announced_leaving: entry.has_announced_leaving,
         };
         self.record_departed(id, departed);
@@ -249,8 +264,10 @@
             departed.incarnation <= incarnation && !departed.has_announced_leaving
         });
         if is_new {
+            let known = departed.filter(|departed| departed.incarnation == incarnation);
             let departed = Departed {
                 incarnation,
+                sequence: known.map_or(0, |departed| departed.sequence),
                 has_announced_leaving: true,
             };
             self.record_departed(id, departed);
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -36,6 +36,21 @@
     assert_eq!(registry.get(&ServerId::from("a"), 0).unwrap().sequence, 3);
 }
 
+/// Guards against a heartbeat that the store performs late, after newer ones and the removal of the
+/// row, and that brings back a server that has left.
+#[test]
+fn set_outdated_heartbeat_does_not_bring_back_a_server_that_has_left() {
+    let mut registry = Registry::default();
+    registry.set(row("a", 5, 3), 0);
+    assert_eq!(registry.remove(&ServerId::from("a"), 0), Change::Left);
+    assert_eq!(registry.set(row("a", 5, 2), 0), Change::Outdated);
+    assert_eq!(registry.set(row("a", 4, 9), 0), Change::Outdated);
+    assert!(usable(&registry).is_empty());
+    // One that was silent for three heartbeats goes on with newer ones.
+    assert_eq!(registry.set(row("a", 5, 4), 0), Change::Joined);
+    assert_eq!(usable(&registry), ["a"]);
+}
+
 /// Guards against new requests for a leaving server because of a later row of the same
 /// incarnation.
 #[test]
