Believe a refusal without an id only on a connection not used before

Cause: a response that states that the request did not run was believed without an id on any connection. Fix: connections count their responses; one without an id is believed only as the first, and is foreign later, so that the request may have run.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -175,9 +175,12 @@
         })?;
     last_activity.record(state.now_ms());
     let (head, body) = response.into_parts();
-    let response_head = state
+    let mut response_head = state
         .backends
         .decode(&routed.id, head.status, &head.headers);
+    // Without an id, a late second response to an earlier request on the connection, such as a
+    // refusal, cannot be told from the response to this one.
+    response_head.has_other_id |= !response_head.has_matching_id && !connection.is_first_response();
     // A server that declines a request reports its load, too.
     let is_success = head.status.is_success() && response_head.has_matching_id;
     record_notice(
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -114,7 +114,7 @@
 pub struct ResponseHead {
     /// Whether the response has the id of this request.
     pub has_matching_id: bool,
-    /// Whether the response has the id of another request.
+    /// Whether the response has the id of another request, or may belong to one.
     pub has_other_id: bool,
     /// What the server says of itself.
     pub notice: ServerNotice,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -53,9 +53,17 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     socket: SocketProbe,
+    /// Number of response heads received on it.
+    responses: u32,
 }
 
 impl Connection {
+    /// Whether it has brought a single response, so that this one cannot be a late second response
+    /// to an earlier request.
+    pub fn is_first_response(&self) -> bool {
+        self.responses == 1
+    }
+
     /// Whether a request may be sent now. The socket is probed as well, since a request could
     /// otherwise be written to a connection that the server has closed, and count as sent.
     fn is_ready(&self) -> bool {
@@ -179,6 +187,7 @@
         Ok(Connection {
             sender,
             socket: probe,
+            responses: 0,
         })
     }
 
@@ -214,7 +223,10 @@
             return Err(SendError::Withheld);
         }
         let mut error = match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok((response, connection)),
+            Ok(response) => {
+                connection.responses += 1;
+                return Ok((response, connection));
+            }
             Err(error) => error,
         };
         let Some(request) = error.take_message() else {
@@ -226,7 +238,10 @@
             return Err(SendError::Withheld);
         }
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => {
+                connection.responses += 1;
+                Ok((response, connection))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent(error.into_error().to_string())),
                 None => Err(error.into_error().into()),
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -308,6 +308,10 @@
             "x-not-run",
             "1",
         );
+        let declined = match parts.headers.get("x-request-id").map(HeaderValue::to_str) {
+            Some(Ok(request_id)) => with_header(declined, "x-request-id", request_id),
+            _ => declined,
+        };
         return match fault {
             Some(Fault::AtCapacity) => with_header(declined, "x-server-load", LOAD_AT_CAPACITY),
             Some(Fault::Pause(retry_after)) => with_header(declined, "retry-after", retry_after),
