--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -70,6 +70,15 @@
 
 /// Fields of a response whose body is passed on whole, or which has none. The length of a response
 /// to HEAD and of status 304 says how long another response would be, and stays.
+///
+/// ```
+/// use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
+/// use hyper::{Method, StatusCode};
+/// use jujubeusher::http::framing::whole_body_fields;
+/// let sent = HeaderMap::from_iter([(CONTENT_LENGTH, HeaderValue::from_static("5"))]);
+/// assert!(whole_body_fields(&Method::GET, StatusCode::OK, &sent).is_empty());
+/// assert_eq!(whole_body_fields(&Method::HEAD, StatusCode::OK, &sent), sent);
+/// ```
 pub fn whole_body_fields(method: &Method, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
     let mut passed = end_to_end_fields(headers);
     let describes_another = *method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
@@ -81,6 +90,13 @@
 
 /// Fields of a response whose body is not that of one server: others may go on with it, and events
 /// may be left out.
+///
+/// ```
+/// use hyper::header::{ETAG, HeaderMap, HeaderValue};
+/// use jujubeusher::http::framing::joined_body_fields;
+/// let sent = HeaderMap::from_iter([(ETAG, HeaderValue::from_static("\"a\""))]);
+/// assert!(joined_body_fields(&sent).is_empty());
+/// ```
 pub fn joined_body_fields(headers: &HeaderMap) -> HeaderMap {
     let mut passed = end_to_end_fields(headers);
     for name in BODY_FIELDS {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -192,7 +192,8 @@
     let service = service_fn(|request| {
         progress.begin_request();
         let is_last = must_close(&request);
-        let has_chunks = request.version() >= Version::HTTP_11 || request.method() == Method::HEAD;
+        let knows_chunks = request.version() >= Version::HTTP_11;
+        let wants_body = request.method() != Method::HEAD;
         // hyper reserves memory for this future in each connection, even an idle one. The box
         // avoids the memory for a request's state on idle connections.
         let response = match framing::is_transfer_coded(request.headers()) {
@@ -209,8 +210,9 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            // hyper then ends the body with the connection.
-            if !has_chunks && response.body().size_hint().exact().is_none() {
+            let has_length = response.body().size_hint().exact().is_some();
+            // hyper ends a body with the connection that has neither a length nor chunks.
+            if wants_body && !has_length && !knows_chunks {
                 progress.begin_closing_body();
                 set_reset_on_close(stream, true);
             }
