--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -1,5 +1,5 @@
 //! Header fields of messages that are passed on. Each connection frames its messages by itself (RFC
-//! 9110, 7.6; RFC 9112, 6), so nothing that frames a message on one is a promise on the next.
+//! 9110, 7.6; RFC 9112, 6), so nothing that frames a message on one holds on the next.
 
 #[cfg(test)]
 mod tests;
