Believe 421 without an id on any connection again

Cause: connections are kept by address. Refusals without an id follow the stricter rule as before; refusal_without_an_id_is_believed_only_on_an_unused_connection holds.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -179,8 +179,11 @@
         .backends
         .decode(&routed.id, head.status, &head.headers);
     // Without an id, a late second response to an earlier request on the connection, such as a
-    // refusal, cannot be told from the response to this one.
-    response_head.has_other_id |= !response_head.has_matching_id && !connection.is_first_response();
+    // refusal, cannot be told from the response to this one. Connections are kept by address, so
+    // that another server there may answer 421 on one that has carried requests of its own.
+    response_head.has_other_id |= !response_head.has_matching_id
+        && !response_head.is_misdirected
+        && !connection.is_first_response();
     // A server that declines a request reports its load, too.
     let is_success = head.status.is_success() && response_head.has_matching_id;
     record_notice(
