Log why a probe failed, and tell an unreachable server from a broken stream

event=stream_broken gave the same cause for a connection that broke and for one that the router gave up after a failed probe. event=probe_failed has the error of the operating system and the server's silence.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -217,7 +217,7 @@
             let first = while_reachable(state, server, source.read_first(wait)).await;
             first.map_err(unreachable)?.map_err(|cause| match cause {
                 StreamError::Stalled => timed_out(),
-                StreamError::Broken | StreamError::NotResumed => {
+                StreamError::Broken | StreamError::Unreachable | StreamError::NotResumed => {
                     Failure::new(FailureKind::Broken, cause)
                 }
             })?;
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -193,11 +193,17 @@
             state.reachability.record_reached(&server.id);
             true
         }
-        Err(_) => {
+        Err(error) => {
+            let now_ms = state.now_ms();
+            let active_ms = state.reachability.active_ms(&server.id);
+            log::info!(
+                "event=probe_failed server={} kind={:?} error=\"{error}\" silent_ms={}",
+                server.id,
+                error.kind(),
+                now_ms.saturating_sub(active_ms),
+            );
             state.pool.close_idle(server.address);
-            state
-                .reachability
-                .record_unreachable(&server.id, state.now_ms());
+            state.reachability.record_unreachable(&server.id, now_ms);
             false
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -140,7 +140,7 @@
             let server = source.server.clone();
             let next = source.next_event(wait);
             let next = while_reachable(&self.state, &server, next).await;
-            match next.unwrap_or(Err(StreamError::Broken)) {
+            match next.unwrap_or(Err(StreamError::Unreachable)) {
                 Ok(Some(event)) => {
                     let now_ms = self.state.now_ms();
                     if event.is_progress() {
@@ -235,7 +235,9 @@
     async fn recover(&mut self, cause: StreamError) -> Result<(), BodyError> {
         let registration = self.source.as_ref().map(|source| source.server.clone());
         let server = registration.as_ref().map(|server| server.id.clone());
-        if let Some(registration) = registration.filter(|_| cause == StreamError::Broken) {
+        if let Some(registration) =
+            registration.filter(|_| matches!(cause, StreamError::Broken | StreamError::Unreachable))
+        {
             let sent_ms = self.history.last_sent_ms;
             let (state, routed) = (&self.state, &self.routed);
             crash::check(state, routed, &registration, sent_ms, self.has_answered).await;
