A probe ends no request that a server is running

Cause: while_reachable ended whatever waited for a server once a probe of it failed after 250 ms of silence. A probe opens a new connection, and says nothing of one that is open: a leaving server refuses it and finishes what it runs, a full queue leaves it without an answer for longer than the probe's time-out of 400 ms. Ruled out: the stall time-out (2 s, the pause was 450 ms), the grace time (8 s, the cut came after 2.3 s), a reset by the server.

Fix: probes go on and decide about placement; a run is ended by its own connection, its deadline or its caller. FailureKind::Silent is gone. The stand-ins learn to refuse connections or leave them hanging while they finish what they run.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use crate::decide::registry::Registration;
 use crate::gateway::event_source::{EventSource, StreamError, return_to_pool};
 use crate::gateway::protocol::{AttemptHead, LimitNotice, LoadReport, ResponseHead};
-use crate::gateway::reachability::while_reachable;
+use crate::gateway::reachability::probe_while_silent;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
@@ -41,8 +41,6 @@
     ConnectionLimit,
     /// The server announced its leaving, or asked for a pause, before the request was written.
     Withheld,
-    /// The server stopped responding and can no longer be reached.
-    Silent,
     /// The connection broke after the request was sent.
     Broken,
     /// No response arrived in time.
@@ -63,7 +61,6 @@
             // Logs and metrics keep the label `crowded`.
             Self::ConnectionLimit => "crowded",
             Self::Withheld => "withheld",
-            Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
             Self::Foreign => "foreign",
@@ -80,7 +77,7 @@
             | Self::Withheld
             | Self::NotRun
             | Self::Misdirected => RunState::NotRun,
-            Self::Silent | Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
+            Self::Broken | Self::Timeout | Self::Foreign => RunState::Unknown,
         }
     }
 
@@ -157,14 +154,11 @@
     let timed_out = || Failure::new(FailureKind::Timeout, "no response in time");
     let started_ms = state.now_ms();
     let last_activity = state.reachability.last_activity(&server.id);
-    let unreachable = |_| Failure::new(FailureKind::Silent, "the server can no longer be reached");
     let sending = with_timeout(first, {
         let may_send = || state.accepts_requests(server);
         state.pool.send_if(server.address, request, may_send)
     });
-    let outcome = while_reachable(state, server, sending)
-        .await
-        .map_err(unreachable)?;
+    let outcome = probe_while_silent(state, server, sending).await;
     let (response, connection) = outcome
         .ok_or_else(timed_out)?
         .map_err(|error| match error {
@@ -214,10 +208,10 @@
             };
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
             let wait = EventWait::until(limits.first_event_ms.saturating_sub(elapsed_ms));
-            let first = while_reachable(state, server, source.read_first(wait)).await;
-            first.map_err(unreachable)?.map_err(|cause| match cause {
+            let first = probe_while_silent(state, server, source.read_first(wait)).await;
+            first.map_err(|cause| match cause {
                 StreamError::Stalled => timed_out(),
-                StreamError::Broken | StreamError::Unreachable | StreamError::NotResumed => {
+                StreamError::Broken | StreamError::NotResumed => {
                     Failure::new(FailureKind::Broken, cause)
                 }
             })?;
@@ -228,9 +222,7 @@
             let remaining = Duration::from_millis(limits.remaining_ms.saturating_sub(elapsed_ms));
             let memory = state.response_memory.share();
             let reading = with_timeout(remaining, read_body(body, memory));
-            let read = while_reachable(state, server, reading)
-                .await
-                .map_err(unreachable)?;
+            let read = probe_while_silent(state, server, reading).await;
             let bytes = read.ok_or_else(timed_out)??;
             return_to_pool(state, server, connection, response_head.keep_alive);
             ResponseBody::Complete(bytes)
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -28,9 +28,6 @@
     /// The connection broke, or the stream ended within an event.
     #[error("the stream broke off")]
     Broken,
-    /// The server fell silent on all connections, and a probe could not reach it.
-    #[error("the server can no longer be reached")]
-    Unreachable,
     /// The events of a resumed stream cannot be placed after those that the caller has.
     #[error("the stream did not go on where the one before broke off")]
     NotResumed,
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -179,19 +179,16 @@
     }
 }
 
-/// Probes a server by opening a connection, which then goes to the pool; returns whether the server
-/// was reached.
-async fn probe(state: &State, server: &Registration) -> bool {
+/// Probes a server by opening a connection, which then goes to the pool.
+async fn probe(state: &State, server: &Registration) {
     match state.pool.connect(server.address).await {
         Ok(connection) => {
             state.pool.release(server.address, connection);
             state.reachability.record_reached(&server.id);
-            true
         }
         // A server that closes a new connection at once is at its connection limit, but reachable.
         Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {
             state.reachability.record_reached(&server.id);
-            true
         }
         Err(error) => {
             let now_ms = state.now_ms();
@@ -204,34 +201,29 @@
             );
             state.pool.close_idle(server.address);
             state.reachability.record_unreachable(&server.id, now_ms);
-            false
         }
     }
 }
 
-/// Error of a request whose server can no longer be reached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Unreachable;
-
-/// Awaits `future`, but fails if its server falls silent and a probe cannot reach it.
-pub async fn while_reachable<F>(
-    state: &State,
-    server: &Registration,
-    future: F,
-) -> Result<F::Output, Unreachable>
+/// Awaits `future`, and probes its server while that is silent on all connections.
+///
+/// A probe says whether a new connection can be opened, which decides about further requests. It says
+/// nothing about a request that the server is running: a leaving server accepts no connections and
+/// finishes what it runs. Only the request's own connection, its deadline or its caller ends it.
+pub async fn probe_while_silent<F>(state: &State, server: &Registration, future: F) -> F::Output
 where
     F: Future,
 {
     let last_activity = state.reachability.last_activity(&server.id);
-    let unreachable = async {
+    let probes = async {
         loop {
             smol::Timer::after(SILENCE_BEFORE_PROBE).await;
-            if last_activity.is_silent(state.now_ms()) && !probe(state, server).await {
-                return Err(Unreachable);
+            if last_activity.is_silent(state.now_ms()) {
+                probe(state, server).await;
             }
         }
     };
-    async { Ok(future.await) }.or(unreachable).await
+    future.or(probes).await
 }
 
 /// Probes unreachable servers until they are reached or deregistered. Never returns.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -396,8 +396,6 @@
         }
         FailureKind::Withheld => {}
         FailureKind::Misdirected => state.record_misdirected(&server.id),
-        // The probe that detected the failure has recorded it.
-        FailureKind::Silent => {}
     }
 }
 
@@ -460,7 +458,7 @@
         (0, _) => Rejection::NotAccepted {
             retry_after_ms: placement::random_retry_after_ms(),
         },
-        (_, FailureKind::Timeout | FailureKind::Silent) => Rejection::TimedOut,
+        (_, FailureKind::Timeout) => Rejection::TimedOut,
         _ => Rejection::AnswerLost,
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use crate::gateway::attempt::ResponseBody;
 use crate::gateway::crash;
 use crate::gateway::event_source::{EventSource, StreamError};
-use crate::gateway::reachability::while_reachable;
+use crate::gateway::reachability::probe_while_silent;
 use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::{InFlightGuard, State};
@@ -139,8 +139,7 @@
             };
             let server = source.server.clone();
             let next = source.next_event(wait);
-            let next = while_reachable(&self.state, &server, next).await;
-            match next.unwrap_or(Err(StreamError::Unreachable)) {
+            match probe_while_silent(&self.state, &server, next).await {
                 Ok(Some(event)) => {
                     let now_ms = self.state.now_ms();
                     if event.is_progress() {
@@ -235,9 +234,7 @@
     async fn recover(&mut self, cause: StreamError) -> Result<(), BodyError> {
         let registration = self.source.as_ref().map(|source| source.server.clone());
         let server = registration.as_ref().map(|server| server.id.clone());
-        if let Some(registration) =
-            registration.filter(|_| matches!(cause, StreamError::Broken | StreamError::Unreachable))
-        {
+        if let Some(registration) = registration.filter(|_| cause == StreamError::Broken) {
             let sent_ms = self.history.last_sent_ms;
             let (state, routed) = (&self.state, &self.routed);
             crash::check(state, routed, &registration, sent_ms, self.has_answered).await;
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -19,7 +19,7 @@
 use smol::Timer;
 
 use crate::platform::stream::{self, StreamStyle, Words};
-use crate::serve::{Body, Server, close_connection, response};
+use crate::serve::{Body, Listening, Server, close_connection, response};
 
 pub use crate::platform::stream::STREAM_EVENTS;
 
@@ -248,6 +248,11 @@
         self.state.lock().stream_style = style;
     }
 
+    /// Sets what the server does with new connections; it goes on with the requests that it runs.
+    pub fn set_listening(&self, listening: Listening) {
+        self.server.set_listening(listening);
+    }
+
     /// Queues a fault. Each request consumes one queued fault.
     pub fn inject_fault(&self, fault: Fault) {
         self.state.lock().queued_faults.push_back(fault);
--- a/standins/src/platform/stream.rs
+++ b/standins/src/platform/stream.rs
@@ -16,7 +16,7 @@
 
 /// Number of events in each stream.
 pub const STREAM_EVENTS: u64 = 5;
-/// Pause between the parts of a stream, which makes each of them a separate chunk.
+/// Shortest pause between the parts of a stream, which makes each of them a separate chunk.
 const PART_PAUSE: Duration = Duration::from_millis(2);
 /// Upper bound, exclusive, on the length of the words that a run adds to an event.
 const WORDS_LENGTH_MAX: u64 = 40;
@@ -29,6 +29,8 @@
     /// Whether each run has words of its own in its events, as engines that sample have. The
     /// streams of two runs then differ in content and length.
     pub has_own_words: bool,
+    /// Pause before each event, for which the server works on it; 2 ms if it is zero.
+    pub event_pause: Duration,
 }
 
 /// Words that one run adds to its events; none if it is the same for all runs.
@@ -89,9 +91,10 @@
 /// Builds the response with these parts of the stream of events above `after`, whose declared
 /// length is that of the whole stream.
 pub fn response(parts: Vec<Part>, style: StreamStyle, words: Words, after: u64) -> Response<Body> {
-    let parts = stream::unfold(parts.into_iter(), |mut parts| async {
+    let pause = style.event_pause.max(PART_PAUSE);
+    let parts = stream::unfold(parts.into_iter(), move |mut parts| async move {
         let next = parts.next()?;
-        Timer::after(PART_PAUSE).await;
+        Timer::after(pause).await;
         Some((next, parts))
     });
     let response = Response::new(StreamBody::new(parts).boxed());
