Hold a router's own lack of resources against no server

What callers saw: a router without a free file descriptor took every silent server as unreachable.

Cause: each error of connect, also EMFILE and the like, was taken for an unreachable server: the server left placement and its idle connections were closed. Evidence: event=probe_failed error="Too many open files", followed by event=server_unreachable for sound servers.

Fix: ConnectFailure says once what an error of connect stands for; probes, crash checks and attempts use it. A lack of descriptors, ports or memory fails the attempt alone (kind=no_resources, not run), and a reset of a new connection counts as the connection limit on each path.

Tests, both failed before (503; server_unreachable): router_without_descriptors_goes_on_with_the_connections_that_it_has, request_without_a_descriptor_is_rejected_as_not_run_and_held_against_no_server.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -214,7 +214,9 @@
     let sent = app.pool.send(address, request).await;
     sent.map_err(|error| match error {
         SendError::NotSent(reason) => AttemptError::not_sent(reason),
-        SendError::ConnectionLimit | SendError::Withheld => AttemptError::not_sent(error),
+        SendError::ConnectionLimit | SendError::NoResources(_) | SendError::Withheld => {
+            AttemptError::not_sent(error)
+        }
         SendError::Broken(reason) => AttemptError::unknown(FailureKind::Broken, reason),
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,6 +39,8 @@
     Connect,
     /// The server accepts no further connections.
     ConnectionLimit,
+    /// This process lacks what a connection needs, such as a file descriptor.
+    NoResources,
     /// The server announced its leaving, or asked for a pause, before the request was written.
     Withheld,
     /// The connection broke after the request was sent.
@@ -60,6 +62,7 @@
             Self::Connect => "connect",
             // Logs and metrics keep the label `crowded`.
             Self::ConnectionLimit => "crowded",
+            Self::NoResources => "no_resources",
             Self::Withheld => "withheld",
             Self::Broken => "broken",
             Self::Timeout => "timeout",
@@ -74,6 +77,7 @@
         match self {
             Self::Connect
             | Self::ConnectionLimit
+            | Self::NoResources
             | Self::Withheld
             | Self::NotRun
             | Self::Misdirected => RunState::NotRun,
@@ -83,7 +87,10 @@
 
     /// Whether the request may have been delivered to a server.
     pub fn is_delivered(self) -> bool {
-        !matches!(self, Self::Connect | Self::ConnectionLimit | Self::Withheld)
+        !matches!(
+            self,
+            Self::Connect | Self::ConnectionLimit | Self::NoResources | Self::Withheld
+        )
     }
 }
 
@@ -164,6 +171,7 @@
         .map_err(|error| match error {
             SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
             SendError::ConnectionLimit => Failure::new(FailureKind::ConnectionLimit, error),
+            SendError::NoResources(_) => Failure::new(FailureKind::NoResources, error),
             SendError::Withheld => Failure::new(FailureKind::Withheld, error),
             SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
         })?;
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,6 +1,5 @@
 //! Crashes of servers while they ran a request.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
+use crate::http::connect_failure::ConnectFailure;
 use crate::ids::{RequestId, ServerId};
 use crate::runtime::with_timeout;
 
@@ -212,10 +212,12 @@
             state.pool.release(address, connection);
             Probe::Accepted
         }
-        // A server at its connection limit closes a new connection at once.
-        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted => Probe::Accepted,
-        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
-        Some(Err(_)) | None => Probe::Unknown,
+        Some(Err(error)) => match ConnectFailure::of(&error) {
+            ConnectFailure::ConnectionLimit => Probe::Accepted,
+            ConnectFailure::Refused => Probe::Refused,
+            ConnectFailure::NoAnswer | ConnectFailure::NoResources => Probe::Unknown,
+        },
+        None => Probe::Unknown,
     }
 }
 
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -1,7 +1,6 @@
 //! Whether backend servers can be reached: recorded activity, and probes that open a connection.
 
 use std::future::Future;
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use crate::decide::registry::Registration;
 use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room};
 use crate::gateway::state::State;
+use crate::http::connect_failure::ConnectFailure;
 use crate::ids::{RequestId, ServerId};
 
 /// Silence of a server on all connections after which a waiting request probes whether it can still
@@ -181,27 +181,31 @@
 
 /// Probes a server by opening a connection, which then goes to the pool.
 async fn probe(state: &State, server: &Registration) {
-    match state.pool.connect(server.address).await {
+    let error = match state.pool.connect(server.address).await {
         Ok(connection) => {
             state.pool.release(server.address, connection);
             state.reachability.record_reached(&server.id);
+            return;
         }
-        // A server that closes a new connection at once is at its connection limit, but reachable.
-        Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {
-            state.reachability.record_reached(&server.id);
-        }
-        Err(error) => {
-            let now_ms = state.now_ms();
-            let active_ms = state.reachability.active_ms(&server.id);
-            log::info!(
-                "event=probe_failed server={} kind={:?} error=\"{error}\" silent_ms={}",
-                server.id,
-                error.kind(),
-                now_ms.saturating_sub(active_ms),
-            );
+        Err(error) => error,
+    };
+    let failure = ConnectFailure::of(&error);
+    let now_ms = state.now_ms();
+    let active_ms = state.reachability.active_ms(&server.id);
+    log::info!(
+        "event=probe_failed server={} kind={} error=\"{error}\" silent_ms={}",
+        server.id,
+        failure.as_str(),
+        now_ms.saturating_sub(active_ms),
+    );
+    match failure {
+        // A server that closes a new connection at once is reachable.
+        ConnectFailure::ConnectionLimit => state.reachability.record_reached(&server.id),
+        ConnectFailure::Refused | ConnectFailure::NoAnswer => {
             state.pool.close_idle(server.address);
             state.reachability.record_unreachable(&server.id, now_ms);
         }
+        ConnectFailure::NoResources => {}
     }
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -394,7 +394,8 @@
         FailureKind::ConnectionLimit | FailureKind::NotRun => {
             state.reachability.record_refusal(&server.id, now_ms);
         }
-        FailureKind::Withheld => {}
+        // Neither says anything of the server.
+        FailureKind::NoResources | FailureKind::Withheld => {}
         FailureKind::Misdirected => state.record_misdirected(&server.id),
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! the platform.
 
 pub mod client;
+pub mod connect_failure;
 pub mod event_body;
 pub mod event_wait;
 pub mod first_byte;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use smol::net::TcpStream;
 
+use crate::http::connect_failure::ConnectFailure;
 use crate::http::socket::{Socket, SocketProbe};
 use crate::runtime::Runtime;
 
@@ -81,6 +82,10 @@
     /// has reached its connection limit.
     #[error("the server accepts no further connection")]
     ConnectionLimit,
+    /// No byte of the request was written, since this process lacks what a connection needs, such as
+    /// a file descriptor.
+    #[error("no connection can be opened here: {0}")]
+    NoResources(io::Error),
     /// No byte of the request was written, since it may no longer be sent.
     #[error("the server no longer accepts requests")]
     Withheld,
@@ -213,9 +218,12 @@
     where
         M: Fn() -> bool,
     {
-        let not_connected = |error: io::Error| match error.kind() {
-            io::ErrorKind::ConnectionAborted => SendError::ConnectionLimit,
-            _ => SendError::NotSent(format!("connect: {error}")),
+        let not_connected = |error: io::Error| match ConnectFailure::of(&error) {
+            ConnectFailure::ConnectionLimit => SendError::ConnectionLimit,
+            ConnectFailure::NoResources => SendError::NoResources(error),
+            ConnectFailure::Refused | ConnectFailure::NoAnswer => {
+                SendError::NotSent(format!("connect: {error}"))
+            }
         };
         let mut connection = self.acquire(address).await.map_err(not_connected)?;
         if !may_send() {
