--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! supplied by the embedding program (see [`Dependencies`]).
 
 pub mod attempt;
+pub mod attempts;
 pub mod caller_timeouts;
 pub mod crash;
 pub mod event_source;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,10 +10,10 @@
 use hyper::body::Frame;
 
 use crate::gateway::attempt::ResponseBody;
+use crate::gateway::attempts::{may_repeat, run_attempts};
 use crate::gateway::crash;
 use crate::gateway::event_source::{EventSource, StreamError};
 use crate::gateway::reachability::probe_while_silent;
-use crate::gateway::request::{may_repeat, run_attempts};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::{InFlightGuard, State};
 use crate::http::event_wait::EventWait;
