Give up a stalled stream only once another server has begun

Cause: recover dropped the connection of the current run first, and looked for another server then; a stall was treated like a break of the connection, and counted as a fault of the server. Ruled out: the probe (event=probe_failed and server_unreachable are absent), the deadline (12 s; the cut came after 2.7 s).

Fix: search_beside keeps the first run until the other one has begun, and goes on with it if it speaks first or if there is no other server. The retry budget and the server's limit are used once a server has been selected. A run that is given up counts as a possible run, and as no fault.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -209,6 +209,7 @@
                 events: RawEventDecoder::default(),
                 timer: LazyTimer::default(),
                 first: VecDeque::new(),
+                read_ahead: None,
                 memory: state.response_memory.share(),
                 keep_alive: response_head.keep_alive,
                 _load: load_ticket,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -19,7 +19,11 @@
 /// Interval at which a request that waits for the end of a pause looks for another server.
 const PAUSE_POLL_MS: u64 = 100;
 
-/// Sends the request to one server after another until one responds or no retry is allowed.
+/// Sends the request to one server after another until one responds or no retry is allowed. If this
+/// is not awaited to its end, the caller gives up the attempts in progress in `history`.
+///
+/// A request that was delivered before uses up a retry of the service's budget for each attempt, once
+/// there is a server for it.
 pub async fn run_attempts(
     state: &Arc<State>,
     routed: &RoutedRequest,
@@ -27,6 +31,7 @@
     last_event: Option<u64>,
 ) -> Result<ServerResponse, Rejection> {
     let mut fallback = None;
+    let mut last_failure: Option<Failure> = None;
     loop {
         let now_ms = state.now_ms();
         let remaining_ms = routed.remaining_ms(now_ms);
@@ -47,21 +52,15 @@
                 smol::Timer::after(Duration::from_millis(wait_ms)).await;
                 continue;
             }
-            Err(NoSelection::Paused { until_ms }) => {
-                return fallback.ok_or_else(|| pause_rejection(history, until_ms, now_ms));
-            }
-            Err(NoSelection::AtLimit { until_ms }) => {
-                let wait_ms = until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
-                let pause_ms = state.record_overload(&routed.service, remaining_ms);
-                let rejection = Rejection::AtLimit {
-                    retry_after_ms: pause_ms.max(wait_ms),
-                };
-                return fallback.ok_or_else(|| placement_failure(history, rejection));
-            }
-            Err(NoSelection::Rejected(rejection)) => {
-                return fallback.ok_or_else(|| placement_failure(history, rejection));
+            Err(reason) => {
+                return fallback.ok_or_else(|| no_selection(state, routed, history, reason));
             }
         };
+        // An undelivered request costs the servers nothing, so it uses no retry of the budget.
+        if history.delivered > 0 && !state.try_acquire_retry(&routed.service) {
+            return fallback.ok_or_else(|| failure_rejection(history, last_failure.as_ref()));
+        }
+        state.reachability.take_limit(&server.id);
         history.servers.push(server.id.clone());
         history.last_sent_ms = now_ms;
         let limits = AttemptLimits {
@@ -70,31 +69,14 @@
             last_event,
             fetch_source: placement::fetch_source(state, routed, &server),
         };
-        match attempt::send(state, routed, &server, limits).await {
+        history.in_progress += 1;
+        let outcome = attempt::send(state, routed, &server, limits).await;
+        history.in_progress -= 1;
+        match outcome {
             Ok(response) => {
-                if matches!(response.body, ResponseBody::Complete(_)) {
-                    state.record_completion(routed.fingerprint, &server.id);
-                    if response.status.is_success() {
-                        let parts = &routed.prompt_parts;
-                        state.strikes.record_answer(parts, state.now_ms());
-                    }
-                }
-                if !routed.route.is_stream {
-                    let elapsed_ms = state.now_ms().saturating_sub(now_ms);
-                    state.record_run(&routed.service, elapsed_ms);
-                }
-                state.metrics.count_attempt("answered");
-                state.reachability.record_reached(&server.id);
+                record_response(state, routed, history, &server, &response);
                 let is_fault = response.status.is_server_error();
-                state
-                    .reachability
-                    .record_outcome(&server.id, is_fault, state.now_ms());
-                history.delivered += 1;
-                history.possible_runs += 1;
-                if let Some(prompt) = routed.prompt {
-                    state.record_prompt_server(prompt.shared_hash, &server.id);
-                }
-                if !is_fault || !may_repeat(state, routed, history) {
+                if !is_fault || !may_repeat(routed, history) {
                     return Ok(response);
                 }
                 log::info!(
@@ -111,14 +93,46 @@
                     let sent_ms = history.last_sent_ms;
                     crash::check(state, routed, &server, sent_ms, false).await;
                 }
-                if !may_retry(state, routed, history, &failure) {
-                    return fallback.ok_or_else(|| failure_rejection(history, &failure));
+                if !may_retry(routed, history) {
+                    return fallback.ok_or_else(|| failure_rejection(history, Some(&failure)));
                 }
+                last_failure = Some(failure);
             }
         }
     }
 }
 
+fn record_response(
+    state: &State,
+    routed: &RoutedRequest,
+    history: &mut AttemptHistory,
+    server: &Registration,
+    response: &ServerResponse,
+) {
+    let now_ms = state.now_ms();
+    if matches!(response.body, ResponseBody::Complete(_)) {
+        state.record_completion(routed.fingerprint, &server.id);
+        if response.status.is_success() {
+            state.strikes.record_answer(&routed.prompt_parts, now_ms);
+        }
+    }
+    if !routed.route.is_stream {
+        let elapsed_ms = now_ms.saturating_sub(history.last_sent_ms);
+        state.record_run(&routed.service, elapsed_ms);
+    }
+    state.metrics.count_attempt("answered");
+    state.reachability.record_reached(&server.id);
+    let is_fault = response.status.is_server_error();
+    state
+        .reachability
+        .record_outcome(&server.id, is_fault, now_ms);
+    history.delivered += 1;
+    history.possible_runs += 1;
+    if let Some(prompt) = routed.prompt {
+        state.record_prompt_server(prompt.shared_hash, &server.id);
+    }
+}
+
 /// While another server could still be tried, a server has the remaining time divided by this for
 /// the start of its response.
 const FIRST_EVENT_DIVISOR: u64 = 3;
@@ -190,26 +204,46 @@
 /// Maximum number of servers that a request is sent to, whatever the reasons of the failures.
 const ATTEMPTED_SERVERS_MAX: usize = 4;
 
-/// Whether a request that may have run may run again; uses up a retry of the service's budget.
-pub fn may_repeat(state: &State, routed: &RoutedRequest, history: &AttemptHistory) -> bool {
+/// Whether a request that may have run, or is being run, may run once more.
+pub fn may_repeat(routed: &RoutedRequest, history: &AttemptHistory) -> bool {
     routed.is_repeatable()
-        && history.possible_runs < routed.route.attempts_max
+        && history.runs() < routed.route.attempts_max
         && history.servers.len() < ATTEMPTED_SERVERS_MAX
-        && state.try_acquire_retry(&routed.service)
 }
 
-fn may_retry(
+fn may_retry(routed: &RoutedRequest, history: &AttemptHistory) -> bool {
+    match history.runs() {
+        0 => history.servers.len() < ATTEMPTED_SERVERS_MAX,
+        _ => may_repeat(routed, history),
+    }
+}
+
+/// Rejection of a request for which there is no server.
+fn no_selection(
     state: &State,
     routed: &RoutedRequest,
     history: &AttemptHistory,
-    failure: &Failure,
-) -> bool {
-    if history.possible_runs > 0 {
-        return may_repeat(state, routed, history);
-    }
-    let has_attempts_left = history.servers.len() < ATTEMPTED_SERVERS_MAX;
-    // An undelivered request costs the servers nothing, so it uses no retry of the budget.
-    has_attempts_left && (!failure.kind.is_delivered() || state.try_acquire_retry(&routed.service))
+    reason: NoSelection,
+) -> Rejection {
+    let now_ms = state.now_ms();
+    let remaining_ms = routed.remaining_ms(now_ms);
+    let rejection = match reason {
+        NoSelection::Paused { until_ms } => return pause_rejection(history, until_ms, now_ms),
+        // A search beside a run that goes on refuses no caller.
+        _ if history.runs() > 0 => Rejection::AnswerLost,
+        NoSelection::AtCapacity => Rejection::Overloaded {
+            retry_after_ms: state.record_overload(&routed.service, remaining_ms),
+        },
+        NoSelection::AtLimit { until_ms } => {
+            let wait_ms = until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
+            let pause_ms = state.record_overload(&routed.service, remaining_ms);
+            Rejection::AtLimit {
+                retry_after_ms: pause_ms.max(wait_ms),
+            }
+        }
+        NoSelection::Rejected(rejection) => rejection,
+    };
+    placement_failure(history, rejection)
 }
 
 /// Rejection of a request that cannot wait for the end of a pause.
@@ -241,12 +275,12 @@
     }
 }
 
-fn failure_rejection(history: &AttemptHistory, failure: &Failure) -> Rejection {
-    match (history.possible_runs, failure.kind) {
+fn failure_rejection(history: &AttemptHistory, failure: Option<&Failure>) -> Rejection {
+    match (history.possible_runs, failure.map(|failure| failure.kind)) {
         (0, _) => Rejection::NotAccepted {
             retry_after_ms: placement::random_retry_after_ms(),
         },
-        (_, FailureKind::Timeout) => Rejection::TimedOut,
+        (_, Some(FailureKind::Timeout)) => Rejection::TimedOut,
         _ => Rejection::AnswerLost,
     }
 }
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -47,6 +47,8 @@
     pub(super) events: RawEventDecoder,
     pub(super) timer: LazyTimer,
     pub(super) first: VecDeque<RawEvent>,
+    /// What follows the events of `first`, if it is known already.
+    pub(super) read_ahead: Option<Result<(), StreamError>>,
     pub(super) memory: MemoryShare,
     pub(super) keep_alive: Option<Duration>,
     pub(super) _load: LoadTicket,
@@ -77,10 +79,40 @@
 
     /// Reads the next event; `None` at the end of the stream.
     pub async fn next_event(&mut self, wait: EventWait) -> Result<Option<RawEvent>, StreamError> {
-        match self.first.pop_front() {
-            Some(event) => Ok(Some(event)),
-            None => self.read_event(wait).await,
+        match (self.first.pop_front(), self.read_ahead.take()) {
+            (Some(event), read_ahead) => {
+                self.read_ahead = read_ahead;
+                Ok(Some(event))
+            }
+            (None, Some(ended)) => ended.map(|()| None),
+            (None, None) => self.read_event(wait).await,
+        }
+    }
+
+    /// Reads up to the next event with data, or the end of the stream, and keeps what it has read for
+    /// `next_event`. Nothing is lost if it is dropped.
+    pub(super) async fn read_ahead(&mut self, wait: EventWait) -> Result<(), StreamError> {
+        let started_ms = self.clock.monotonic_ms();
+        let mut kept_bytes = 0;
+        while kept_bytes <= LEADING_BLOCKS_MAX_BYTES {
+            let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
+            let event = match self.read_event(wait.after(elapsed_ms)).await {
+                Ok(Some(event)) => event,
+                Ok(None) => {
+                    self.read_ahead = Some(Ok(()));
+                    return Ok(());
+                }
+                Err(cause) => return Err(cause),
+            };
+            let is_progress = event.is_progress();
+            kept_bytes += event.bytes.len();
+            self.first.push_back(event);
+            if is_progress {
+                return Ok(());
+            }
         }
+        // Blocks without data may come without end. The connection is read no further.
+        std::future::pending().await
     }
 
     /// Reads until an event is complete. A byte now and then does not extend the wait, but a part
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -33,18 +33,15 @@
     Rejected(Rejection),
     /// All servers have asked for a pause; the first one ends at this monotonic time in ms.
     Paused { until_ms: u64 },
+    /// All servers are at capacity.
+    AtCapacity,
     /// This router's shares of the limits of all servers are used up, the first one until the given
     /// time; `None` if it has no share.
     AtLimit { until_ms: Option<u64> },
 }
 
-impl From<Rejection> for NoSelection {
-    fn from(rejection: Rejection) -> Self {
-        Self::Rejected(rejection)
-    }
-}
-
-/// Selects the server of the next attempt, among those that were not tried before.
+/// Selects the server of the next attempt, among those that were not tried before. Whether it is sent
+/// there is for the caller to decide, who then takes it from the server's limit.
 pub fn select_server(
     state: &State,
     routed: &RoutedRequest,
@@ -87,12 +84,7 @@
         routers: state.router_count(),
     });
     let placed = place(&candidates, prompt, rand::rng().random());
-    let mut ordered = placed.map_err(|AtCapacity| {
-        let remaining_ms = routed.remaining_ms(state.now_ms());
-        Rejection::Overloaded {
-            retry_after_ms: state.record_overload(&routed.service, remaining_ms),
-        }
-    })?;
+    let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
     let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
     let is_light = state.record_prompt_size(&routed.service, shared_tokens);
     if is_light {
@@ -101,11 +93,11 @@
     let ordered = state.reachability.order(ordered, now_ms);
     let first = ordered.into_iter().next();
     let selected = first.and_then(|id| servers.into_iter().find(|server| server.id == id));
-    let selected = selected.ok_or_else(|| Rejection::NoServer {
-        retry_after_ms: random_retry_after_ms(),
-    })?;
-    state.reachability.take_limit(&selected.id);
-    Ok(selected)
+    selected.ok_or_else(|| {
+        NoSelection::Rejected(Rejection::NoServer {
+            retry_after_ms: random_retry_after_ms(),
+        })
+    })
 }
 
 /// Removes the servers whose limits leave no room for a request of this router; returns when the
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -78,11 +78,25 @@
     pub possible_runs: u32,
     /// Number of attempts that were delivered to a server.
     pub delivered: u32,
+    /// Number of attempts that were begun and have no outcome yet.
+    pub in_progress: u32,
     /// Monotonic time in ms at which the last attempt was sent.
     pub last_sent_ms: u64,
 }
 
 impl AttemptHistory {
+    /// Number of attempts whose server may have run the request, or may do so.
+    pub fn runs(&self) -> u32 {
+        self.possible_runs + self.in_progress
+    }
+
+    /// Records that the attempts in progress are given up: their servers may have run the request.
+    pub fn give_up(&mut self) {
+        self.possible_runs += self.in_progress;
+        self.delivered += self.in_progress;
+        self.in_progress = 0;
+    }
+
     /// Whether the server was tried and is not to be tried again.
     pub fn excludes(&self, server: &ServerId) -> bool {
         self.servers.contains(server) && !self.paused.contains(server)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,28 +1,35 @@
 //! Response streams: complete events, in order and once each, from one server or, after a failure,
 //! from several.
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::StatusCode;
 use hyper::body::Frame;
 
-use crate::gateway::attempt::ResponseBody;
+use crate::gateway::attempt::{ResponseBody, ServerResponse};
 use crate::gateway::attempts::{may_repeat, run_attempts};
 use crate::gateway::crash;
 use crate::gateway::event_source::{EventSource, StreamError};
 use crate::gateway::reachability::probe_while_silent;
+use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::{InFlightGuard, State};
 use crate::http::event_wait::EventWait;
 use crate::http::raw_events::RawEvent;
 use crate::http::{Body, BodyError};
+use crate::ids::ServerId;
 
-/// Number of allowed gaps between events after which a stream is resumed at another server. One
-/// such gap makes the stream late, and callers leave after eight.
+/// Number of allowed gaps between events after which another server is sought for a stream. One such
+/// gap makes the stream late, and callers leave after eight.
 const STALL_GAPS: u64 = 4;
+/// Time after a search that found no server before the next one for the same stream: some requests of
+/// a server end within it.
+const SEARCH_INTERVAL_MS: u64 = 500;
 /// Time after the first event for which a server goes on with an answer that its prompt does not
 /// crash. Servers with a part that crashes them end within 110 ms.
 const ANSWER_MIN_MS: u64 = 300;
@@ -36,6 +43,13 @@
     highest_id: Option<u64>,
 }
 
+/// What came first while another server is sought for a stream: its current run goes on, ends or
+/// breaks, or the search has ended.
+enum Raced {
+    Current(Result<(), StreamError>),
+    Other(Result<ServerResponse, Rejection>),
+}
+
 /// A stream in progress between servers and a caller.
 struct StreamRelay {
     state: Arc<State>,
@@ -52,6 +66,10 @@
     failure: Option<StreamError>,
     /// Time of the last event with data, or of the last recovery.
     progress_ms: u64,
+    /// Time before which no other server is sought for a stalled stream.
+    search_from_ms: u64,
+    /// Time at which the request was sent to the current server.
+    sent_ms: u64,
     /// Time of the first event of the current server.
     begun_ms: u64,
     /// Whether the current server has gone on with the answer for `ANSWER_MIN_MS`, or ended it.
@@ -88,6 +106,8 @@
         resumed: None,
         failure: None,
         progress_ms: state.now_ms(),
+        search_from_ms: 0,
+        sent_ms: history.last_sent_ms,
         begun_ms: state.now_ms(),
         has_answered: false,
         events: 0,
@@ -117,24 +137,25 @@
     /// Returns the next events, joined; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
-            if let Some(cause) = self.failure.take() {
-                self.recover(cause).await?;
-                self.progress_ms = self.state.now_ms();
+            match self.failure.take() {
+                Some(StreamError::Stalled) => self.search_beside().await?,
+                Some(cause) => self.recover(cause).await?,
+                None => {}
             }
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
-            let remaining_ms = self.routed.remaining_ms(self.state.now_ms());
+            let now_ms = self.state.now_ms();
+            let remaining_ms = self.routed.remaining_ms(now_ms);
             if remaining_ms == 0 {
                 self.outcome = "timed_out";
                 return Err(BodyError::Incomplete(
                     "the deadline of the stream has passed",
                 ));
             }
-            let now_ms = self.state.now_ms();
-            let without_progress_ms = now_ms.saturating_sub(self.progress_ms);
+            let stalled_ms = self.progress_ms + stall_timeout_ms(&self.routed);
             let wait = EventWait {
-                stall_ms: stall_timeout_ms(&self.routed).saturating_sub(without_progress_ms),
+                stall_ms: stalled_ms.max(self.search_from_ms).saturating_sub(now_ms),
                 total_ms: remaining_ms,
             };
             let server = source.server.clone();
@@ -230,33 +251,109 @@
         is_new
     }
 
-    /// Resumes the stream at another server after an error, if the route allows it.
+    /// Whether another server may go on with the stream.
+    fn can_resume(&self) -> bool {
+        self.routed.route.can_resume
+            && !self.has_unnumbered
+            && may_repeat(&self.routed, &self.history)
+    }
+
+    /// Seeks another server for a stalled stream, whose server may still go on: its run is given up
+    /// once the other one has begun. If it speaks first, the search is given up instead, and if there
+    /// is no other server, it goes on too.
+    async fn search_beside(&mut self) -> Result<(), BodyError> {
+        self.search_from_ms = self.state.now_ms() + SEARCH_INTERVAL_MS;
+        if !self.can_resume() {
+            return Ok(());
+        }
+        let Some(mut source) = self.source.take() else {
+            return Ok(());
+        };
+        let server = source.server.clone();
+        let now_ms = self.state.now_ms();
+        log::info!(
+            "event=stream_stalled id={} server={} last_event={} stalled_ms={}",
+            self.routed.id,
+            server.id,
+            self.last_event.unwrap_or(0),
+            now_ms.saturating_sub(self.progress_ms),
+        );
+        let wait = EventWait::until(self.routed.remaining_ms(now_ms));
+        let (outcome, is_broken) = {
+            let search = run_attempts(
+                &self.state,
+                &self.routed,
+                &mut self.history,
+                self.last_event,
+            );
+            let mut search = pin!(search);
+            let current = async { Raced::Current(source.read_ahead(wait).await) };
+            let raced = current.or(async { Raced::Other(search.as_mut().await) });
+            match probe_while_silent(&self.state, &server, raced).await {
+                Raced::Current(Err(StreamError::Broken)) => {
+                    let (state, routed) = (&self.state, &self.routed);
+                    crash::check(state, routed, &server, self.sent_ms, self.has_answered).await;
+                    (Some(search.await), true)
+                }
+                // It goes on, has ended, or the deadline has passed.
+                Raced::Current(_) => (None, false),
+                Raced::Other(response) => (Some(response), false),
+            }
+        };
+        self.history.give_up();
+        let gone_on = match outcome {
+            Some(response) => self.adopt(response),
+            None => Err("still_running"),
+        };
+        log::info!(
+            "event=search_ended id={} server={} outcome={} sends={}",
+            self.routed.id,
+            server.id,
+            gone_on.err().unwrap_or("moved"),
+            self.history.servers.len(),
+        );
+        match gone_on {
+            // Dropping the first run's source closes its connection, so that its server stops.
+            Ok(()) => Ok(()),
+            Err(_) if !is_broken => {
+                self.source = Some(source);
+                self.search_from_ms = self.state.now_ms() + SEARCH_INTERVAL_MS;
+                Ok(())
+            }
+            Err(outcome) => {
+                self.record_broken(&server.id);
+                self.outcome = outcome;
+                Err(BodyError::Incomplete("no server resumed the stream"))
+            }
+        }
+    }
+
+    /// Resumes the stream at another server after its run was lost, if the route allows it.
     async fn recover(&mut self, cause: StreamError) -> Result<(), BodyError> {
         let registration = self.source.as_ref().map(|source| source.server.clone());
         let server = registration.as_ref().map(|server| server.id.clone());
         if let Some(registration) = registration.filter(|_| cause == StreamError::Broken) {
-            let sent_ms = self.history.last_sent_ms;
             let (state, routed) = (&self.state, &self.routed);
-            crash::check(state, routed, &registration, sent_ms, self.has_answered).await;
+            crash::check(
+                state,
+                routed,
+                &registration,
+                self.sent_ms,
+                self.has_answered,
+            )
+            .await;
         }
-        let can_resume = self.routed.route.can_resume
-            && !self.has_unnumbered
-            && may_repeat(&self.state, &self.routed, &self.history);
+        let can_resume = self.can_resume();
         log::info!(
             "event=stream_broken id={} server={} cause=\"{cause}\" last_event={} resumes={can_resume}",
             self.routed.id,
             server.as_ref().map_or("-", |server| server.as_str()),
             self.last_event.unwrap_or(0),
         );
-        if !can_resume && cause == StreamError::Stalled {
-            // The server may still continue, and no other server may take over.
-            return Ok(());
-        }
         // Dropping the source closes the connection, so that the server stops its work.
         self.source = None;
         if let Some(server) = &server {
-            let now_ms = self.state.now_ms();
-            self.state.reachability.record_outcome(server, true, now_ms);
+            self.record_broken(server);
         }
         if !can_resume {
             self.outcome = "broken";
@@ -269,15 +366,33 @@
             self.last_event,
         )
         .await;
-        match resumed.map(|response| (response.status, response.body)) {
-            Ok((status, ResponseBody::Stream(source))) if status == self.first.status => {
+        self.adopt(resumed).map_err(|outcome| {
+            self.outcome = outcome;
+            BodyError::Incomplete("no server resumed the stream")
+        })
+    }
+
+    fn record_broken(&self, server: &ServerId) {
+        let now_ms = self.state.now_ms();
+        self.state.reachability.record_outcome(server, true, now_ms);
+    }
+
+    /// Goes on with the response of another server; fails with the stream's outcome if it does not go
+    /// on with the stream.
+    fn adopt(&mut self, response: Result<ServerResponse, Rejection>) -> Result<(), &'static str> {
+        let response = response.map_err(|rejection| rejection.code())?;
+        match (response.status, response.body) {
+            (status, ResponseBody::Stream(source)) if status == self.first.status => {
+                let now_ms = self.state.now_ms();
                 self.source = Some(*source);
                 self.resumed = Some(ResumedRun::default());
-                self.begun_ms = self.state.now_ms();
+                self.sent_ms = self.history.last_sent_ms;
+                self.begun_ms = now_ms;
+                self.progress_ms = now_ms;
                 self.has_answered = false;
                 Ok(())
             }
-            Ok((status, _)) => {
+            (status, _) => {
                 log::info!(
                     "event=resume_refused id={} server={} status={} first_status={}",
                     self.routed.id,
@@ -285,12 +400,7 @@
                     status.as_u16(),
                     self.first.status.as_u16(),
                 );
-                self.outcome = "resume_refused";
-                Err(BodyError::Incomplete("no server resumed the stream"))
-            }
-            Err(rejection) => {
-                self.outcome = rejection.code();
-                Err(BodyError::Incomplete("no server resumed the stream"))
+                Err("resume_refused")
             }
         }
     }
