Give up a late response only once another server has responded

What callers saw: 502 or 504 after a third of the time of a request that may be repeated, while its server went on to finish it: there was no other server, none took the request, or the other one was later still. A whole response whose body stopped coming was awaited to the deadline although others were free.

Evidence: the failing tests below; with a single server, the 502 (answer_lost) came after 1.4 s of the route's 4 s, and the server responded at 2.3 s.

Fix: run_attempts keeps the attempts in progress, and takes the response that comes first. An attempt ends by its own connection or its deadline; RunDoubt, a pure decision, says when it is overdue, and counts only time that the router has observed. An attempt in progress counts as a possible run.

Tests that failed before, in platform/tests/stalled_runs.rs: late_response_is_awaited_if_no_other_server_takes_the_request (502), late_response_that_comes_first_is_taken (504), body_that_stops_coming_is_replaced_by_that_of_another_server (504).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,6 +28,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod retry_window;
+pub mod run_doubt;
 pub mod server_limit;
 pub mod strikes;
 pub mod table_position;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use crate::decide::registry::Registration;
 use crate::gateway::event_source::{EventSource, StreamError, return_to_pool};
 use crate::gateway::protocol::{AttemptHead, LimitNotice, LoadReport, ResponseHead};
-use crate::gateway::reachability::probe_while_silent;
+use crate::gateway::reachability::{LastActivity, probe_while_silent};
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
@@ -134,8 +134,6 @@
 /// Limits of one attempt.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptLimits {
-    /// Longest wait for the response's head, or for a stream's first event.
-    pub first_event_ms: u64,
     /// Time left until the request's deadline.
     pub remaining_ms: u64,
     /// Number of the last event that the caller has received.
@@ -145,23 +143,24 @@
 }
 
 /// Sends the request to one server, and reads its response up to the end, or up to the first event
-/// of a stream.
+/// of a stream. Records in `progress` when a whole response began or went on.
 pub async fn send(
     state: &State,
     routed: &RoutedRequest,
     server: &Registration,
     limits: AttemptLimits,
+    progress: &LastActivity,
 ) -> Result<ServerResponse, Failure> {
     let load_ticket = state.load.start_request(&server.id);
     let prompt_guard = routed
         .prompt
         .map(|p| state.prompts_in_flight.start(p.shared_hash));
     let request = encode(state, routed, server, limits)?;
-    let first = Duration::from_millis(limits.first_event_ms);
+    let remaining = Duration::from_millis(limits.remaining_ms);
     let timed_out = || Failure::new(FailureKind::Timeout, "no response in time");
     let started_ms = state.now_ms();
     let last_activity = state.reachability.last_activity(&server.id);
-    let sending = with_timeout(first, {
+    let sending = with_timeout(remaining, {
         let may_send = || state.accepts_requests(server);
         state.pool.send_if(server.address, request, may_send)
     });
@@ -216,7 +215,7 @@
                 _prompt: prompt_guard,
             };
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
-            let wait = EventWait::until(limits.first_event_ms.saturating_sub(elapsed_ms));
+            let wait = EventWait::until(limits.remaining_ms.saturating_sub(elapsed_ms));
             let first = probe_while_silent(state, server, source.read_first(wait)).await;
             first.map_err(|cause| match cause {
                 StreamError::Stalled => timed_out(),
@@ -230,7 +229,13 @@
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
             let remaining = Duration::from_millis(limits.remaining_ms.saturating_sub(elapsed_ms));
             let memory = state.response_memory.share();
-            let reading = with_timeout(remaining, read_body(body, memory));
+            let record = |now_ms| {
+                progress.record(now_ms);
+                last_activity.record(now_ms);
+            };
+            record(state.now_ms());
+            let reading = read_body(body, memory, || record(state.now_ms()));
+            let reading = with_timeout(remaining, reading);
             let read = probe_while_silent(state, server, reading).await;
             let bytes = read.ok_or_else(timed_out)??;
             return_to_pool(state, server, connection, response_head.keep_alive);
@@ -393,12 +398,21 @@
     state.load.apply_report(&server.id, report);
 }
 
-async fn read_body(mut body: Incoming, mut memory: MemoryShare) -> Result<Bytes, Failure> {
+/// Reads a whole body; calls `on_data` whenever a part of it arrives.
+async fn read_body<D>(
+    mut body: Incoming,
+    mut memory: MemoryShare,
+    on_data: D,
+) -> Result<Bytes, Failure>
+where
+    D: Fn(),
+{
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Failure::new(FailureKind::Broken, error))?;
         if let Some(part) = frame.data_ref() {
             bytes.extend_from_slice(part);
+            on_data();
         }
         if bytes.len() > RESPONSE_MAX_BYTES {
             let reason = format!("the response is larger than {RESPONSE_MAX_BYTES} bytes");
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,16 +1,22 @@
 //! The attempts of a request: one server after another until one responds or no retry is allowed.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
 use crate::decide::pause::can_wait;
 use crate::decide::registry::Registration;
+use crate::decide::run_doubt::RunDoubt;
 use crate::gateway::attempt::{
     self, AttemptLimits, Failure, FailureKind, ResponseBody, ServerResponse,
 };
 use crate::gateway::crash;
 use crate::gateway::placement::{self, NoSelection};
 use crate::gateway::quarantine;
+use crate::gateway::reachability::LastActivity;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
@@ -19,64 +25,113 @@
 /// Interval at which a request that waits for the end of a pause looks for another server.
 const PAUSE_POLL_MS: u64 = 100;
 
-/// Sends the request to one server after another until one responds or no retry is allowed. If this
-/// is not awaited to its end, the caller gives up the attempts in progress in `history`.
-///
-/// A request that was delivered before uses up a retry of the service's budget for each attempt, once
-/// there is a server for it.
+/// Interval at which another server is sought again for a run in doubt, after none could be had: some
+/// requests of the servers end within it.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// An attempt in progress.
+struct Running {
+    server: Registration,
+    sent_ms: u64,
+    progress: LastActivity,
+    doubt: RunDoubt,
+    is_doubted: bool,
+}
+
+impl Running {
+    /// Completes when another server is to be sought beside this run.
+    async fn wait_for_doubt(&mut self, state: &State, routed: &RoutedRequest) {
+        if self.is_doubted {
+            smol::Timer::after(SEARCH_INTERVAL).await;
+            return;
+        }
+        let mut now_ms = state.now_ms();
+        while !self.doubt.observe(now_ms, self.progress.at_ms()) {
+            smol::Timer::after(Duration::from_millis(self.doubt.next_check_ms())).await;
+            now_ms = state.now_ms();
+        }
+        self.is_doubted = true;
+        log::info!(
+            "event=attempt_overdue id={} server={} ms={}",
+            routed.id,
+            self.server.id,
+            now_ms.saturating_sub(self.sent_ms),
+        );
+        // Its own connection shows that it is late, whether it is given up or not.
+        let server = &self.server;
+        state.pool.close_idle(server.address);
+        state.reachability.record_outcome(&server.id, true, now_ms);
+    }
+}
+
+/// An attempt that has ended.
+struct Ended {
+    server: Registration,
+    sent_ms: u64,
+    result: Result<ServerResponse, Failure>,
+}
+
+/// Why there is no server for an attempt.
+enum NoServer {
+    /// The deadline has passed.
+    TimedOut,
+    Quarantined(Rejection),
+    NotSelected(NoSelection),
+    /// The retry budget is used up.
+    NoRetry,
+}
+
+/// Sends the request to one server after another until one responds or no retry is allowed. While a
+/// run is in doubt, another server is sought beside it, and the response that comes first is taken;
+/// the other run is given up then. If this is not awaited to its end, the caller gives up the
+/// attempts in progress in `history`.
 pub async fn run_attempts(
     state: &Arc<State>,
     routed: &RoutedRequest,
     history: &mut AttemptHistory,
     last_event: Option<u64>,
 ) -> Result<ServerResponse, Rejection> {
+    let mut attempts = FuturesUnordered::new();
+    let mut running: Vec<Running> = Vec::new();
     let mut fallback = None;
     let mut last_failure: Option<Failure> = None;
+    let mut is_next_due = true;
     loop {
-        let now_ms = state.now_ms();
-        let remaining_ms = routed.remaining_ms(now_ms);
-        if remaining_ms == 0 {
-            return fallback.ok_or_else(|| deadline_rejection(history));
-        }
-        if let Err(rejection) = quarantine::check(state, routed, history) {
-            return fallback.ok_or(rejection);
-        }
-        let server = match placement::select_server(state, routed, history) {
-            Ok(server) => server,
-            Err(NoSelection::Paused { until_ms })
-                if fallback.is_none()
-                    && !state.is_stopping()
-                    && can_wait(until_ms, routed.deadline_ms, routed.route.latency_target_ms) =>
-            {
-                let wait_ms = until_ms.saturating_sub(now_ms).min(PAUSE_POLL_MS);
-                smol::Timer::after(Duration::from_millis(wait_ms)).await;
-                continue;
-            }
-            Err(reason) => {
-                return fallback.ok_or_else(|| no_selection(state, routed, history, reason));
+        if is_next_due {
+            match next_server(state, routed, history) {
+                Ok(server) => {
+                    let begun = begin(state, routed, history, server);
+                    attempts.push(run(state, routed, &begun, last_event));
+                    running.push(begun);
+                }
+                Err(reason) if attempts.is_empty() => {
+                    let wait = reason.wait(state, routed);
+                    if let Some(wait) = wait.filter(|_| fallback.is_none()) {
+                        smol::Timer::after(wait).await;
+                        continue;
+                    }
+                    let failure = last_failure.as_ref();
+                    return fallback
+                        .ok_or_else(|| reason.into_rejection(state, routed, history, failure));
+                }
+                // The run in doubt goes on.
+                Err(_) => {}
             }
-        };
-        // An undelivered request costs the servers nothing, so it uses no retry of the budget.
-        if history.delivered > 0 && !state.try_acquire_retry(&routed.service) {
-            return fallback.ok_or_else(|| failure_rejection(history, last_failure.as_ref()));
         }
-        state.reachability.take_limit(&server.id);
-        history.servers.push(server.id.clone());
-        history.last_sent_ms = now_ms;
-        let limits = AttemptLimits {
-            first_event_ms: first_event_timeout_ms(routed, history, remaining_ms),
-            remaining_ms,
-            last_event,
-            fetch_source: placement::fetch_source(state, routed, &server),
+        let doubted = running.last_mut().filter(|_| may_repeat(routed, history));
+        let Some(ended) = next_ended(&mut attempts, doubted, state, routed).await else {
+            is_next_due = true;
+            continue;
         };
-        history.in_progress += 1;
-        let outcome = attempt::send(state, routed, &server, limits).await;
+        let server = ended.server;
+        running.retain(|running| running.server.id != server.id);
         history.in_progress -= 1;
-        match outcome {
+        match ended.result {
             Ok(response) => {
-                record_response(state, routed, history, &server, &response);
+                record_response(state, routed, history, &server, ended.sent_ms, &response);
                 let is_fault = response.status.is_server_error();
-                if !is_fault || !may_repeat(routed, history) {
+                if !is_fault || (attempts.is_empty() && !may_repeat(routed, history)) {
+                    history.give_up();
                     return Ok(response);
                 }
                 log::info!(
@@ -90,15 +145,125 @@
             Err(failure) => {
                 record_failure(state, routed, history, &server, &failure);
                 if failure.kind == FailureKind::Broken {
-                    let sent_ms = history.last_sent_ms;
-                    crash::check(state, routed, &server, sent_ms, false).await;
+                    crash::check(state, routed, &server, ended.sent_ms, false).await;
                 }
-                if !may_retry(routed, history) {
+                if attempts.is_empty() && !may_retry(routed, history) {
                     return fallback.ok_or_else(|| failure_rejection(history, Some(&failure)));
                 }
                 last_failure = Some(failure);
             }
         }
+        is_next_due = attempts.is_empty();
+    }
+}
+
+/// Waits until an attempt has ended; `None` if another server is to be sought before.
+async fn next_ended<F>(
+    attempts: &mut FuturesUnordered<F>,
+    doubted: Option<&mut Running>,
+    state: &State,
+    routed: &RoutedRequest,
+) -> Option<Ended>
+where
+    F: Future<Output = Ended>,
+{
+    let doubt = async {
+        match doubted {
+            Some(running) => running.wait_for_doubt(state, routed).await,
+            None => std::future::pending().await,
+        }
+        None
+    };
+    attempts.next().or(doubt).await
+}
+
+/// Selects the server of the next attempt. A request that was sent before uses up a retry of the
+/// service's budget; one that was not delivered costs the servers nothing.
+fn next_server(
+    state: &State,
+    routed: &RoutedRequest,
+    history: &AttemptHistory,
+) -> Result<Registration, NoServer> {
+    if routed.remaining_ms(state.now_ms()) == 0 {
+        return Err(NoServer::TimedOut);
+    }
+    quarantine::check(state, routed, history).map_err(NoServer::Quarantined)?;
+    let server = placement::select_server(state, routed, history).map_err(NoServer::NotSelected)?;
+    let is_retry = history.delivered + history.in_progress > 0;
+    if is_retry && !state.try_acquire_retry(&routed.service) {
+        return Err(NoServer::NoRetry);
+    }
+    state.reachability.take_limit(&server.id);
+    Ok(server)
+}
+
+fn begin(
+    state: &State,
+    routed: &RoutedRequest,
+    history: &mut AttemptHistory,
+    server: Registration,
+) -> Running {
+    let now_ms = state.now_ms();
+    history.servers.push(server.id.clone());
+    history.last_sent_ms = now_ms;
+    history.in_progress += 1;
+    Running {
+        doubt: RunDoubt::new(overdue_ms(routed, now_ms), now_ms),
+        server,
+        sent_ms: now_ms,
+        progress: LastActivity::default(),
+        is_doubted: false,
+    }
+}
+
+/// Runs an attempt to its end. The future holds no reference to `running`.
+fn run<'a>(
+    state: &'a State,
+    routed: &'a RoutedRequest,
+    running: &Running,
+    last_event: Option<u64>,
+) -> impl Future<Output = Ended> + use<'a> {
+    let (server, sent_ms) = (running.server.clone(), running.sent_ms);
+    let progress = running.progress.clone();
+    async move {
+        let limits = AttemptLimits {
+            remaining_ms: routed.remaining_ms(sent_ms),
+            last_event,
+            fetch_source: placement::fetch_source(state, routed, &server),
+        };
+        Ended {
+            result: attempt::send(state, routed, &server, limits, &progress).await,
+            server,
+            sent_ms,
+        }
+    }
+}
+
+impl NoServer {
+    /// Time to wait before a server is selected again; `None` if that is no use.
+    fn wait(&self, state: &State, routed: &RoutedRequest) -> Option<Duration> {
+        let Self::NotSelected(NoSelection::Paused { until_ms }) = *self else {
+            return None;
+        };
+        let may_wait = !state.is_stopping()
+            && can_wait(until_ms, routed.deadline_ms, routed.route.latency_target_ms);
+        let wait_ms = until_ms.saturating_sub(state.now_ms()).min(PAUSE_POLL_MS);
+        may_wait.then(|| Duration::from_millis(wait_ms))
+    }
+
+    fn into_rejection(
+        self,
+        state: &State,
+        routed: &RoutedRequest,
+        history: &AttemptHistory,
+        failure: Option<&Failure>,
+    ) -> Rejection {
+        match self {
+            Self::TimedOut => deadline_rejection(history),
+            Self::Quarantined(rejection) => rejection,
+            Self::NotSelected(reason) => no_selection(state, routed, history, reason),
+            Self::NoRetry => failure_rejection(history, failure),
+        }
     }
 }
 
@@ -107,9 +272,11 @@
     routed: &RoutedRequest,
     history: &mut AttemptHistory,
     server: &Registration,
+    sent_ms: u64,
     response: &ServerResponse,
 ) {
     let now_ms = state.now_ms();
+    history.record_responder(&server.id, sent_ms);
     if matches!(response.body, ResponseBody::Complete(_)) {
         state.record_completion(routed.fingerprint, &server.id);
         if response.status.is_success() {
@@ -117,7 +284,7 @@
         }
     }
     if !routed.route.is_stream {
-        let elapsed_ms = now_ms.saturating_sub(history.last_sent_ms);
+        let elapsed_ms = now_ms.saturating_sub(sent_ms);
         state.record_run(&routed.service, elapsed_ms);
     }
     state.metrics.count_attempt("answered");
@@ -133,23 +300,13 @@
     }
 }
 
-/// While another server could still be tried, a server has the remaining time divided by this for
-/// the start of its response.
-const FIRST_EVENT_DIVISOR: u64 = 3;
+/// Share of the remaining time that a run may take to bring something before it is overdue.
+const OVERDUE_DIVISOR: u64 = 3;
 
-fn first_event_timeout_ms(
-    routed: &RoutedRequest,
-    history: &AttemptHistory,
-    remaining_ms: u64,
-) -> u64 {
-    let can_try_another =
-        routed.is_repeatable() && history.possible_runs + 1 < routed.route.attempts_max;
-    match can_try_another {
-        true => (remaining_ms / FIRST_EVENT_DIVISOR)
-            .max(routed.route.latency_target_ms)
-            .min(remaining_ms),
-        false => remaining_ms,
-    }
+/// Time without progress after which a run that began at `now_ms` is overdue.
+fn overdue_ms(routed: &RoutedRequest, now_ms: u64) -> u64 {
+    let share_ms = routed.remaining_ms(now_ms) / OVERDUE_DIVISOR;
+    share_ms.max(routed.route.latency_target_ms)
 }
 
 fn record_failure(
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -23,8 +23,8 @@
 /// Interval between rounds of probes of unreachable servers.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Time of a server's last activity on any connection, in ms of the monotonic clock; clones share
-/// it.
+/// Time of the last activity, of a server on any connection or of one run, in ms of the monotonic
+/// clock; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct LastActivity(Arc<AtomicU64>);
 
@@ -34,9 +34,13 @@
         self.0.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Time of the last activity; 0 if there was none.
+    pub fn at_ms(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
     fn is_silent(&self, now_ms: u64) -> bool {
-        let active_ms = self.0.load(Ordering::Relaxed);
-        u128::from(now_ms.saturating_sub(active_ms)) >= SILENCE_BEFORE_PROBE.as_millis()
+        u128::from(now_ms.saturating_sub(self.at_ms())) >= SILENCE_BEFORE_PROBE.as_millis()
     }
 }
 
@@ -57,9 +61,7 @@
     /// Time of a server's last activity, in ms of the monotonic clock; 0 if there was none.
     pub fn active_ms(&self, server: &ServerId) -> u64 {
         let last_activity = self.last_activity.lock();
-        last_activity
-            .get(server)
-            .map_or(0, |active| active.0.load(Ordering::Relaxed))
+        last_activity.get(server).map_or(0, LastActivity::at_ms)
     }
 
     /// Records that no connection to a server could be opened.
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -69,7 +69,7 @@
 /// Attempts made for one request.
 #[derive(Debug, Clone, Default)]
 pub struct AttemptHistory {
-    /// Server of each attempt, in order.
+    /// Server of each attempt, in order; one that responded is the last one.
     pub servers: Vec<ServerId>,
     /// Servers that did not run an attempt since they had asked for a pause, after which they may be
     /// tried again.
@@ -80,7 +80,7 @@
     pub delivered: u32,
     /// Number of attempts that were begun and have no outcome yet.
     pub in_progress: u32,
-    /// Monotonic time in ms at which the last attempt was sent.
+    /// Monotonic time in ms at which the last attempt, or the one that got a response, was sent.
     pub last_sent_ms: u64,
 }
 
@@ -90,6 +90,13 @@
         self.possible_runs + self.in_progress
     }
 
+    /// Records that a server responded to the attempt that was sent at `sent_ms`.
+    pub fn record_responder(&mut self, server: &ServerId, sent_ms: u64) {
+        self.servers.retain(|attempted| attempted != server);
+        self.servers.push(server.clone());
+        self.last_sent_ms = sent_ms;
+    }
+
     /// Records that the attempts in progress are given up: their servers may have run the request.
     pub fn give_up(&mut self) {
         self.possible_runs += self.in_progress;
