Probe a silent server once for all its requests

Seen: at 1,000 silent streams over one router (review), each stream probed its server every 250 ms; the probes filled the servers' queues of new connections, so that one failed.

Cause: each waiting request probed by itself. Fix: the time of a server's last probe is kept with its activity. A router that was paused skips the round in which all servers look silent, as it has not read what they sent meanwhile.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -19,7 +19,7 @@
 
 /// Silence of a server on all connections after which a waiting request probes whether it can still
 /// be reached: over ten times the usual duration of an engine's step or a plain service's run.
-const SILENCE_BEFORE_PROBE: Duration = Duration::from_millis(250);
+const SILENCE_BEFORE_PROBE_MS: u64 = 250;
 /// Interval between rounds of probes of unreachable servers.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -40,7 +40,7 @@
     }
 
     fn is_silent(&self, now_ms: u64) -> bool {
-        u128::from(now_ms.saturating_sub(self.at_ms())) >= SILENCE_BEFORE_PROBE.as_millis()
+        now_ms.saturating_sub(self.at_ms()) >= SILENCE_BEFORE_PROBE_MS
     }
 }
 
@@ -49,6 +49,8 @@
 pub struct Reachability {
     health: Mutex<ServerHealth>,
     last_activity: Mutex<IndexMap<ServerId, LastActivity>>,
+    /// Time at which each silent server was probed last.
+    probed_ms: Mutex<IndexMap<ServerId, u64>>,
 }
 
 impl Reachability {
@@ -169,6 +171,17 @@
         self.health.lock().is_reachable(server)
     }
 
+    /// Whether a silent server is to be probed now, for all requests that wait for it.
+    fn try_begin_probe(&self, server: &ServerId, now_ms: u64) -> bool {
+        let mut probed_ms = self.probed_ms.lock();
+        let last_ms = probed_ms.get(server).copied();
+        let is_due = last_ms.is_none_or(|ms| ms + SILENCE_BEFORE_PROBE_MS <= now_ms);
+        if is_due {
+            probed_ms.insert(server.clone(), now_ms);
+        }
+        is_due
+    }
+
     fn due_probes(&self, now_ms: u64) -> Vec<ServerId> {
         self.health.lock().due_probes(now_ms)
     }
@@ -178,6 +191,7 @@
         self.last_activity
             .lock()
             .retain(|server, _| is_known(server));
+        self.probed_ms.lock().retain(|server, _| is_known(server));
     }
 }
 
@@ -223,8 +237,15 @@
     let last_activity = state.reachability.last_activity(&server.id);
     let probes = async {
         loop {
-            smol::Timer::after(SILENCE_BEFORE_PROBE).await;
-            if last_activity.is_silent(state.now_ms()) {
+            let due_ms = state.now_ms() + SILENCE_BEFORE_PROBE_MS;
+            smol::Timer::after(Duration::from_millis(SILENCE_BEFORE_PROBE_MS)).await;
+            let now_ms = state.now_ms();
+            // A router that was paused has not read what its servers sent meanwhile.
+            let is_late = now_ms.saturating_sub(due_ms) >= SILENCE_BEFORE_PROBE_MS;
+            if !is_late
+                && last_activity.is_silent(now_ms)
+                && state.reachability.try_begin_probe(&server.id, now_ms)
+            {
                 probe(state, server).await;
             }
         }
