Chats' interface: report no server as failed for a router's own lack of resources

What operators saw: a router without a free file descriptor reported its engines as suspect to all other routers, since its probes could not open a connection.

Fix: CallError::NoResources and FailureKind::NoResources, by ConnectFailure; neither counts for health or suspicion. Other runs of this interface end by their connection or by the operator's time-outs (docs/operations/answers.md), never on a probe.

Test: router_without_descriptors_reports_no_server_as_failed (suspect at the second router before).

--- a/src/edge/table.rs
+++ b/src/edge/table.rs
@@ -192,7 +192,9 @@
 impl From<CallError> for TableError {
     fn from(error: CallError) -> Self {
         match error {
-            CallError::NotSent(reason) => Self::Unavailable(reason),
+            CallError::NotSent(reason) | CallError::NoResources(reason) => {
+                Self::Unavailable(reason)
+            }
             CallError::ResponseLost(reason) => Self::ResponseLost(reason),
             CallError::TimedOut => Self::ResponseLost(error.to_string()),
         }
--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -37,6 +37,8 @@
 pub enum FailureKind {
     /// No connection could be opened.
     Connect,
+    /// This process lacks what a connection needs, such as a file descriptor.
+    NoResources,
     /// The connection or the stream failed after the request was sent.
     Broken,
     /// No response, event or part of the body arrived in time.
@@ -214,9 +216,11 @@
     let sent = app.pool.send(address, request).await;
     sent.map_err(|error| match error {
         SendError::NotSent(reason) => AttemptError::not_sent(reason),
-        SendError::ConnectionLimit | SendError::NoResources(_) | SendError::Withheld => {
-            AttemptError::not_sent(error)
-        }
+        SendError::NoResources(_) => AttemptError {
+            kind: FailureKind::NoResources,
+            ..AttemptError::not_sent(error)
+        },
+        SendError::ConnectionLimit | SendError::Withheld => AttemptError::not_sent(error),
         SendError::Broken(reason) => AttemptError::unknown(FailureKind::Broken, reason),
     })
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,6 +12,7 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use crate::http::connect_failure::ConnectFailure;
 use crate::http::pool::connect;
 
 /// Why a call got no response.
@@ -20,6 +21,10 @@
     /// No byte of the request reached the server.
     #[error("request not sent: {0}")]
     NotSent(String),
+    /// No byte of the request reached the server, since this process lacks what a connection needs,
+    /// such as a file descriptor.
+    #[error("no connection can be opened here: {0}")]
+    NoResources(String),
     /// The connection broke; the call may have taken effect.
     #[error("no response: {0}")]
     ResponseLost(String),
@@ -79,9 +84,13 @@
         path: &str,
         body: Bytes,
     ) -> Result<ClientResponse, CallError> {
-        let stream = connect(self.address, self.timeout)
-            .await
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let stream =
+            connect(self.address, self.timeout)
+                .await
+                .map_err(|error| match ConnectFailure::of(&error) {
+                    ConnectFailure::NoResources => CallError::NoResources(error.to_string()),
+                    _ => CallError::NotSent(error.to_string()),
+                })?;
         let response_lost = |error: hyper::Error| CallError::ResponseLost(error.to_string());
         let (mut sender, connection) =
             hyper::client::conn::http1::handshake(FuturesIo::new(stream))
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
+
 use common::{Env, PAYING_KEY, RouterProcess, any_port, chat, ctl, get, unused_port, wait_until};
 use jujubeusher_standins::proxy::{Faults, Proxy};
 
@@ -255,3 +257,34 @@
         wait_until("the server is alive", || server(router) == "alive");
     }
 }
+
+/// Guards against a router without a free file descriptor that takes its servers as dead, and tells
+/// the other routers so.
+#[test]
+fn router_without_descriptors_reports_no_server_as_failed() {
+    let fleet = Fleet::open(2, 2);
+    assert!(fleet.env.apply(&fleet.env.inventory()).status.success());
+    let servers = |router: &RouterProcess| -> Vec<String> {
+        let dump = dump(router);
+        let servers = dump["servers"].as_array().expect("servers");
+        let health = |server: &serde_json::Value| server["health"].as_str().map(str::to_owned);
+        servers.iter().filter_map(health).collect()
+    };
+    wait_until("the second router sees both servers alive", || {
+        servers(&fleet.routers[1]) == ["alive", "alive"]
+    });
+    let process = Pid::from_child(&fleet.routers[0].child);
+    let maximum = getrlimit(Resource::Nofile).maximum;
+    let held = std::fs::read_dir(format!("/proc/{}/fd", fleet.routers[0].child.id()));
+    let held: Vec<u64> = held
+        .expect("the open files")
+        .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok())
+        .collect();
+    let current = (0..).find(|number| !held.contains(number));
+    prlimit(Some(process), Resource::Nofile, Rlimit { current, maximum }).expect("a limit");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(4) {
+        assert_eq!(servers(&fleet.routers[1]), ["alive", "alive"]);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
