--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod hosts;
+pub mod listening;
 pub mod objects;
 pub mod orders;
 pub mod platform;
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -18,8 +18,9 @@
 use parking_lot::Mutex;
 use smol::Timer;
 
+use crate::listening::Listening;
 use crate::platform::stream::{self, StreamStyle, Words};
-use crate::serve::{Body, Listening, Server, close_connection, response};
+use crate::serve::{Body, Server, close_connection, response};
 
 pub use crate::platform::stream::STREAM_EVENTS;
 
@@ -95,6 +96,7 @@
     run_time: Duration,
     events_before_crash: u64,
     stream_style: StreamStyle,
+    event_pause: Duration,
 }
 
 impl State {
@@ -248,6 +250,11 @@
         self.state.lock().stream_style = style;
     }
 
+    /// Sets the time that the server works on each event of a stream; a few ms at first.
+    pub fn set_event_pause(&self, pause: Duration) {
+        self.state.lock().event_pause = pause;
+    }
+
     /// Sets what the server does with new connections; it goes on with the requests that it runs.
     pub fn set_listening(&self, listening: Listening) {
         self.server.set_listening(listening);
@@ -382,7 +389,8 @@
         _ if is_stream => {
             let is_truncated = fault == Some(Fault::TruncatedResponse);
             let parts = stream::parts(words, after, is_truncated);
-            stream::response(parts, style, words, after)
+            let pause = state.lock().event_pause;
+            stream::response(parts, pause, style, words, after)
         }
         Some(Fault::TruncatedResponse) => truncated_response(),
         _ => response(StatusCode::OK, format!("answer of {id}")),
--- a/standins/src/platform/stream.rs
+++ b/standins/src/platform/stream.rs
@@ -29,8 +29,6 @@
     /// Whether each run has words of its own in its events, as engines that sample have. The
     /// streams of two runs then differ in content and length.
     pub has_own_words: bool,
-    /// Pause before each event, for which the server works on it; 2 ms if it is zero.
-    pub event_pause: Duration,
 }
 
 /// Words that one run adds to its events; none if it is the same for all runs.
@@ -89,9 +87,15 @@
 }
 
 /// Builds the response with these parts of the stream of events above `after`, whose declared
-/// length is that of the whole stream.
-pub fn response(parts: Vec<Part>, style: StreamStyle, words: Words, after: u64) -> Response<Body> {
-    let pause = style.event_pause.max(PART_PAUSE);
+/// length is that of the whole stream. `pause` is the time before each part.
+pub fn response(
+    parts: Vec<Part>,
+    pause: Duration,
+    style: StreamStyle,
+    words: Words,
+    after: u64,
+) -> Response<Body> {
+    let pause = pause.max(PART_PAUSE);
     let parts = stream::unfold(parts.into_iter(), move |mut parts| async move {
         let next = parts.next()?;
         Timer::after(pause).await;
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -16,7 +16,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use smol::Executor;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
+
+use crate::listening::{Acceptor, Listening, ListeningControl};
 
 /// How the proxy ends a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +119,7 @@
 pub struct Proxy {
     address: SocketAddr,
     state: Shared,
+    listening: ListeningControl,
     stop: Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
@@ -124,9 +127,8 @@
 impl Proxy {
     /// Binds `address` and forwards each connection to `upstream`, initially without faults.
     pub fn bind(address: SocketAddr, upstream: SocketAddr) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
-        let listener = TcpListener::from(smol::Async::new(listener)?);
-        let address = listener.local_addr()?;
+        let (acceptor, listening) = Acceptor::bind(address)?;
+        let address = acceptor.address();
         let state = Arc::new(Mutex::new(State {
             upstream,
             faults: Faults::default(),
@@ -138,10 +140,11 @@
         let shared = Arc::clone(&state);
         let thread = thread::Builder::new()
             .name(format!("proxy-{}", address.port()))
-            .spawn(move || run(listener, shared, stopped))?;
+            .spawn(move || run(acceptor, shared, stopped))?;
         Ok(Self {
             address,
             state,
+            listening,
             stop,
             thread: Some(thread),
         })
@@ -167,6 +170,11 @@
         self.set_faults(Faults::default());
     }
 
+    /// Changes what the proxy does with new connections; it goes on with the open ones.
+    pub fn set_listening(&self, listening: Listening) {
+        self.listening.set(listening);
+    }
+
     /// Changes the server to which new connections are forwarded.
     pub fn set_upstream(&self, upstream: SocketAddr) {
         self.state.lock().upstream = upstream;
@@ -202,17 +210,17 @@
     }
 }
 
-fn run(listener: TcpListener, state: Shared, stopped: Receiver<()>) {
+fn run(acceptor: Acceptor, state: Shared, stopped: Receiver<()>) {
     let executor = Arc::new(Executor::new());
-    let accept = accept_loop(Arc::clone(&executor), listener, state);
+    let accept = accept_loop(Arc::clone(&executor), acceptor, state);
     let wait = async {
         let _ = stopped.recv().await;
     };
     smol::block_on(executor.run(accept.or(wait)));
 }
 
-async fn accept_loop(executor: Arc<Executor<'static>>, listener: TcpListener, state: Shared) {
-    while let Ok((client, _)) = listener.accept().await {
+async fn accept_loop(executor: Arc<Executor<'static>>, mut acceptor: Acceptor, state: Shared) {
+    while let Ok(client) = acceptor.accept().await {
         let state = Arc::clone(&state);
         let (end_sender, end_requests) = async_channel::bounded(1);
         let (id, drawn) = {
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -4,14 +4,12 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, mpsc};
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::or;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -20,31 +18,15 @@
 use hyper::{Request, Response, StatusCode};
 use serde_json::Value;
 use smol::Executor;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use socket2::SockRef;
+
+use crate::listening::{Acceptor, Listening, ListeningControl};
 
 /// Body of a stand-in's response. An error in it closes the connection without a proper end of
 /// the body.
 pub type Body = BoxBody<Bytes, io::Error>;
 
-/// Maximum number of connections that wait to be accepted.
-const BACKLOG: i32 = 1_024;
-/// Longest wait for a connection that fills the queue of a listener, which is not accepted.
-const FILL_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// What a server does with new connections. Its open connections are not affected.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Listening {
-    /// Accepts them.
-    #[default]
-    Accepting,
-    /// Has closed its listener, so that they are refused.
-    Refusing,
-    /// Has a full queue and accepts none of it, so that they hang.
-    Hanging,
-}
-
 /// A running listener with its own thread. Dropping it stops the thread and closes all
 /// connections.
 #[derive(Debug)]
@@ -52,7 +34,7 @@
     address: SocketAddr,
     stop: Receiver<()>,
     stop_sender: Option<Sender<()>>,
-    listening: Sender<(Listening, mpsc::Sender<()>)>,
+    listening: ListeningControl,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -79,16 +61,14 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let listener = std::net::TcpListener::bind(address)?;
-        let listener = TcpListener::from(smol::Async::new(listener)?);
-        let address = listener.local_addr()?;
+        let (acceptor, listening) = Acceptor::bind(address)?;
+        let address = acceptor.address();
         let stop = stopped.clone();
-        let (listening, changes) = async_channel::unbounded();
         let thread = thread::Builder::new()
             .name(format!("standin-{}", address.port()))
             .spawn(move || {
                 let executor = Arc::new(Executor::new());
-                let accept = accept_loop(Arc::clone(&executor), listener, changes, handle);
+                let accept = accept_loop(Arc::clone(&executor), acceptor, handle);
                 let wait = async {
                     let _ = stopped.recv().await;
                 };
@@ -105,11 +85,7 @@
 
     /// Changes what the server does with new connections, and waits until that is in force.
     pub fn set_listening(&self, listening: Listening) {
-        let (done, is_done) = mpsc::channel();
-        if self.listening.try_send((listening, done)).is_ok() {
-            // Fails if the server has stopped, which closes its listener.
-            let _ = is_done.recv();
-        }
+        self.listening.set(listening);
     }
 
     /// Listening address, with the actual port.
@@ -127,74 +103,14 @@
     }
 }
 
-/// Changes of what a server does with new connections, and where each is confirmed.
-type ListeningChanges = Receiver<(Listening, mpsc::Sender<()>)>;
-
-async fn accept_loop<H, F>(
-    executor: Arc<Executor<'static>>,
-    listener: TcpListener,
-    changes: ListeningChanges,
-    handle: H,
-) where
+async fn accept_loop<H, F>(executor: Arc<Executor<'static>>, mut acceptor: Acceptor, handle: H)
+where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let Ok(address) = listener.local_addr() else {
-        return;
-    };
-    let mut listener = Some(listener);
-    let mut listening = Listening::Accepting;
-    // Connections that fill the queue of a listener.
-    let mut fillers = Vec::new();
-    loop {
-        let accept = async {
-            match listener
-                .as_ref()
-                .filter(|_| listening == Listening::Accepting)
-            {
-                Some(listener) => Some(listener.accept().await),
-                None => std::future::pending().await,
-            }
-        };
-        let change = async {
-            match changes.recv().await {
-                Ok(change) => Err(change),
-                Err(_) => std::future::pending().await,
-            }
-        };
-        match or(async { Ok(accept.await) }, change).await {
-            Ok(Some(Ok((stream, _)))) => serve_connection(&executor, stream, handle.clone()),
-            Ok(_) => return,
-            Err((changed, done)) => {
-                listening = changed;
-                fillers.clear();
-                listener = match (changed, listener.take()) {
-                    (Listening::Refusing, _) => None,
-                    (_, Some(listener)) => Some(listener),
-                    (_, None) => TcpListener::bind(address).await.ok(),
-                };
-                if let Some(listener) = &listener {
-                    fillers = set_queue(listener, address, changed);
-                }
-                let _ = done.send(());
-            }
-        }
-    }
-}
-
-/// Fills the queue of a listener whose connections are to hang; returns the connections in it.
-fn set_queue(
-    listener: &TcpListener,
-    address: SocketAddr,
-    listening: Listening,
-) -> Vec<std::net::TcpStream> {
-    let is_hanging = listening == Listening::Hanging;
-    let backlog = if is_hanging { 0 } else { BACKLOG };
-    if SockRef::from(listener).listen(backlog).is_err() || !is_hanging {
-        return Vec::new();
+    while let Ok(stream) = acceptor.accept().await {
+        serve_connection(&executor, stream, handle.clone());
     }
-    let connect = || std::net::TcpStream::connect_timeout(&address, FILL_TIMEOUT).ok();
-    std::iter::from_fn(connect).take(BACKLOG as usize).collect()
 }
 
 fn serve_connection<H, F>(executor: &Executor<'static>, stream: TcpStream, handle: H)
