Log the server that sent a stream after a search was given up

event=streamed named the server of the search, which had sent nothing. The history now ends with the server that goes on. No decision depends on it.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -316,6 +316,7 @@
             // Dropping the first run's source closes its connection, so that its server stops.
             Ok(()) => Ok(()),
             Err(_) if !is_broken => {
+                self.history.record_responder(&server.id, self.sent_ms);
                 self.source = Some(source);
                 self.search_from_ms = self.state.now_ms() + SEARCH_INTERVAL_MS;
                 Ok(())
