--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -25,7 +25,7 @@
 const PROMPT_LOAD: f64 = 1.7;
 /// Requests per slot from which a server gets no more requests, since those queued behind a full
 /// batch tend to be late. At five times the usual traffic, 2.0 and 0.75 both serve fewer requests.
-const FULL_PER_SLOT: f64 = 1.0;
+pub const FULL_PER_SLOT: f64 = 1.0;
 
 /// A server with what this router knows of its load.
 #[derive(Debug, Clone, PartialEq)]
@@ -123,6 +123,17 @@
     servers: &[Server],
     prompt: Option<PromptDemand>,
     draw: u64,
+) -> Result<Vec<ServerId>, AtCapacity> {
+    place_below(FULL_PER_SLOT, servers, prompt, draw)
+}
+
+/// Like [`place`], with a bound of its own on the requests per slot of a server, for requests that
+/// are less urgent than others.
+pub fn place_below(
+    full_per_slot: f64,
+    servers: &[Server],
+    prompt: Option<PromptDemand>,
+    draw: u64,
 ) -> Result<Vec<ServerId>, AtCapacity> {
     let candidates = candidates(servers);
     let total: f64 = candidates.iter().map(|c| c.load).sum();
@@ -133,7 +144,7 @@
             Some(_) => candidate.load,
             None => f64::from(server.view.known),
         };
-        load < FULL_PER_SLOT * f64::from(candidate.slots)
+        load < full_per_slot * f64::from(candidate.slots)
     };
     let open = candidates.into_iter().zip(servers).filter(has_capacity);
     let open: Vec<Candidate<'_>> = open.map(|(candidate, _)| candidate).collect();
