Send no requests to evacuated availability zones

Rows evacuate/ZONE of the operator's table pass through the mirror and the relay of the routes. Right before a request is written, the zone is checked again, and nothing is written while the routes are out of date after a pause.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod choose;
 pub mod claim;
+pub mod evacuation;
 pub mod fair_share;
 pub mod fleet_counts;
 pub mod health;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -403,6 +403,11 @@
         Some(entry.registration.address)
     }
 
+    /// Availability zone of a known server, whether or not it accepts new requests.
+    pub fn zone(&self, id: &ServerId) -> Option<&ZoneId> {
+        Some(&self.entries.get(id)?.registration.zone)
+    }
+
     /// Time since a server joined, in ms.
     pub fn known_for_ms(&self, id: &ServerId, now_ms: u64) -> Option<u64> {
         let entry = self.entries.get(id)?;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -398,6 +398,9 @@
                 retry_after_ms: pause_ms.max(wait_ms),
             }
         }
+        NoSelection::Evacuated => Rejection::Evacuated {
+            retry_after_ms: placement::random_evacuated_retry_after_ms(),
+        },
         NoSelection::Rejected(rejection) => rejection,
     };
     placement_failure(history, rejection)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,7 +35,6 @@
 use hyper::StatusCode;
 
 use crate::admin::{json_response, text_response};
-use crate::config::routing::RoutingTable;
 use crate::decide::registry::Registration;
 use crate::edge::clock::{Clock, HostClock};
 use crate::error::Result;
@@ -45,7 +44,7 @@
 use crate::gateway::relay::Mirrors;
 use crate::gateway::state::{GatewaySettings, State};
 use crate::gateway::table::Source;
-use crate::gateway::table_handlers::{Decode, RoutingHandler, ServerHandler};
+use crate::gateway::table_handlers::{Decode, RoutesDecoder, RoutingHandler, ServerHandler};
 use crate::gateway::watch::{PollTiming, watch_table};
 use crate::http::limits::ServerLimits;
 use crate::http::pool::Pool;
@@ -60,8 +59,8 @@
     pub backends: Box<dyn BackendProtocol>,
     /// Watched table of the routes.
     pub routes: Arc<dyn Source>,
-    /// Decodes a row of the routes table.
-    pub decode_routes: Decode<RoutingTable>,
+    /// Decodes the rows of the routes table.
+    pub decode_routes: RoutesDecoder,
     /// Watched table in which backend servers register.
     pub servers: Arc<dyn Source>,
     /// Decodes a server's row.
@@ -82,7 +81,7 @@
 /// The watched tables and the decoders of their rows.
 struct Tables {
     routes: Arc<dyn Source>,
-    decode_routes: Decode<RoutingTable>,
+    decode_routes: RoutesDecoder,
     servers: Arc<dyn Source>,
     decode_server: Decode<Registration>,
     quarantines: Arc<dyn QuarantineStore>,
@@ -93,7 +92,7 @@
     fn watch(self, state: &Arc<State>, stop: &Shutdown) -> Result<()> {
         let routes = Arc::new(RoutingHandler {
             state: Arc::clone(state),
-            decode: self.decode_routes,
+            decoder: self.decode_routes,
         });
         let routes = Arc::new(Mirror::new("routes", routes));
         let servers = Arc::new(ServerHandler {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -26,6 +26,17 @@
     rand::rng().random_range(RETRY_AFTER_MIN_MS..=RETRY_AFTER_MAX_MS)
 }
 
+/// Shortest retry pause for callers whose request no server can accept because all zones are
+/// evacuated: longer than the one above, as operators end evacuations after minutes.
+const EVACUATED_RETRY_MIN_MS: u64 = 1_000;
+/// Longest such pause.
+const EVACUATED_RETRY_MAX_MS: u64 = 3_000;
+
+/// Random retry pause for a caller that is rejected because all zones are evacuated.
+pub fn random_evacuated_retry_after_ms() -> u64 {
+    rand::rng().random_range(EVACUATED_RETRY_MIN_MS..=EVACUATED_RETRY_MAX_MS)
+}
+
 /// Why no server was selected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoSelection {
@@ -38,6 +49,8 @@
     /// This router's shares of the limits of all servers are used up, the first one until the given
     /// time; `None` if it has no share.
     AtLimit { until_ms: Option<u64> },
+    /// All servers are in availability zones that the operator has evacuated.
+    Evacuated,
 }
 
 /// Selects the server of the next attempt, among those that were not tried before. Whether it is sent
@@ -49,8 +62,13 @@
 ) -> Result<Registration, NoSelection> {
     let now_ms = state.now_ms();
     let pause_end_ms = |server: &Registration| state.reachability.pause_end_ms(server, now_ms);
-    let (mut servers, paused): (Vec<_>, Vec<_>) = state
-        .available_servers(&routed.service)
+    let is_evacuated = |server: &Registration| state.evacuated_since_ms(&server.zone).is_some();
+    let available = state.available_servers(&routed.service);
+    let (evacuated, available): (Vec<_>, Vec<_>) = available.into_iter().partition(is_evacuated);
+    if available.is_empty() && !evacuated.is_empty() {
+        return Err(NoSelection::Evacuated);
+    }
+    let (mut servers, paused): (Vec<_>, Vec<_>) = available
         .into_iter()
         .partition(|server| pause_end_ms(server).is_none());
     servers.retain(|server| !history.excludes(&server.id));
--- a/src/gateway/rejection.rs
+++ b/src/gateway/rejection.rs
@@ -49,6 +49,12 @@
         /// Time after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// All servers are in availability zones that the operator has evacuated.
+    #[error("all servers of this route are in evacuated zones; retry after the pause")]
+    Evacuated {
+        /// Time after which the caller should retry.
+        retry_after_ms: u64,
+    },
     /// The attempts failed before any server ran the request, so that a retry is safe.
     #[error("no server accepted the request; retry after the pause")]
     NotAccepted {
@@ -84,6 +90,7 @@
             | Self::NotAccepted { .. }
             | Self::Paused { .. }
             | Self::AtLimit { .. }
+            | Self::Evacuated { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -106,6 +113,7 @@
             Self::TimedOut => "timed_out",
             Self::Paused { .. } => "paused",
             Self::AtLimit { .. } => "at_limit",
+            Self::Evacuated { .. } => "evacuated",
             Self::Quarantined { .. } => "quarantined",
         }
     }
@@ -118,6 +126,7 @@
             | Self::NotAccepted { retry_after_ms }
             | Self::Paused { retry_after_ms }
             | Self::AtLimit { retry_after_ms }
+            | Self::Evacuated { retry_after_ms }
             | Self::Quarantined { retry_after_ms } => Some(*retry_after_ms),
             Self::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
             _ => None,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,7 @@
 //! State shared by all requests of a gateway.
 
+mod dump;
+mod held_back;
 mod servers;
 
 use std::net::SocketAddr;
@@ -8,11 +10,11 @@
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
-use serde_json::{Value, json};
 
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::control::strikes::Strikes;
+use crate::decide::evacuation::Evacuations;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::overload::Overload;
 use crate::decide::placement::PromptSizes;
@@ -111,6 +113,7 @@
     pub backends: Box<dyn BackendProtocol>,
     pub(super) routing: RwLock<Option<Arc<RoutingTable>>>,
     pub(super) registry: Mutex<Registry>,
+    evacuations: RwLock<Evacuations>,
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     overloads: Mutex<IndexMap<ServiceId, Overload>>,
     run_ms: Mutex<IndexMap<ServiceId, f64>>,
@@ -175,6 +178,7 @@
             backends,
             routing: RwLock::default(),
             registry: Mutex::default(),
+            evacuations: RwLock::default(),
             retry_windows: Mutex::default(),
             overloads: Mutex::default(),
             run_ms: Mutex::default(),
@@ -248,9 +252,14 @@
             let pause_end_ms = self.reachability.pause_end_ms(server, now_ms);
             pause_end_ms.is_some()
         };
+        // A leaving server may be a source, but not one in an evacuated zone.
+        let is_evacuated = registry.zone(source).is_some_and(|zone| {
+            let since_ms = self.evacuated_since_ms(zone);
+            since_ms.is_some()
+        });
         match registry.get(source, now_ms).filter(is_pausing) {
-            Some(_) => None,
-            None => registry.address(source),
+            None if !is_evacuated => registry.address(source),
+            _ => None,
         }
     }
 
@@ -394,51 +403,6 @@
         self.run_ms.lock().get(service).copied()
     }
 
-    /// State of this process as JSON, for operators.
-    pub fn dump(&self) -> Value {
-        let now_ms = self.now_ms();
-        let settings = self.settings();
-        let routing = self.routing();
-        let registry = self.registry.lock();
-        let servers: Vec<Value> = registry
-            .all()
-            .map(|server| {
-                json!({
-                    "server": server.id,
-                    "service": server.service,
-                    "address": server.address,
-                    "zone": server.zone,
-                    "is_leaving": server.is_leaving,
-                    "leaving_source": registry.leaving_source(&server.id).map(|s| s.as_str()),
-                    "incarnation": server.incarnation,
-                    "is_reachable": self.reachability.is_reachable(&server.id),
-                    "paused_for_ms": self
-                        .reachability
-                        .pause_end_ms(server, now_ms)
-                        .map(|end_ms| end_ms - now_ms),
-                    "limit_per_s": self.reachability.limit_per_s(server, now_ms),
-                    "own_requests": self.load.own_requests(&server.id),
-                    "known_requests": self.load.view(&server.id).known,
-                    "load_age_ms": self.load.age_ms(&server.id),
-                    "known_for_ms": registry.known_for_ms(&server.id, now_ms),
-                })
-            })
-            .collect();
-        json!({
-            "router": settings.name,
-            "zone": settings.zone,
-            "is_stopping": self.is_stopping(),
-            "uptime_ms": now_ms,
-            "requests_in_flight": self.in_flight(),
-            "requests_struck": self.strikes.len(),
-            "requests_quarantined": self.strikes.quarantines(now_ms).len(),
-            "routers": self.router_count(),
-            "router_index": self.fleet_place().index,
-            "config_version": routing.as_ref().map(|routing| routing.version),
-            "servers": servers,
-        })
-    }
-
     /// Maximum number of idle connections that this router keeps to each server of a service. A
     /// server counts the connections of all routers towards its limit, so all idle connections
     /// together may use at most half of it.
--- /dev/null
+++ b/src/gateway/state/dump.rs
@@ -0,0 +1,53 @@
+//! State dump for operators.
+
+use serde_json::{Value, json};
+
+use crate::gateway::state::State;
+
+impl State {
+    /// State of this process as JSON, for operators.
+    pub fn dump(&self) -> Value {
+        let now_ms = self.now_ms();
+        let settings = self.settings();
+        let routing = self.routing();
+        let registry = self.registry.lock();
+        let servers: Vec<Value> = registry
+            .all()
+            .map(|server| {
+                json!({
+                    "server": server.id,
+                    "service": server.service,
+                    "address": server.address,
+                    "zone": server.zone,
+                    "is_leaving": server.is_leaving,
+                    "leaving_source": registry.leaving_source(&server.id).map(|s| s.as_str()),
+                    "incarnation": server.incarnation,
+                    "is_reachable": self.reachability.is_reachable(&server.id),
+                    "paused_for_ms": self
+                        .reachability
+                        .pause_end_ms(server, now_ms)
+                        .map(|end_ms| end_ms - now_ms),
+                    "limit_per_s": self.reachability.limit_per_s(server, now_ms),
+                    "own_requests": self.load.own_requests(&server.id),
+                    "known_requests": self.load.view(&server.id).known,
+                    "load_age_ms": self.load.age_ms(&server.id),
+                    "known_for_ms": registry.known_for_ms(&server.id, now_ms),
+                })
+            })
+            .collect();
+        json!({
+            "router": settings.name,
+            "zone": settings.zone,
+            "evacuated_zones": self.evacuated_zones_json(now_ms),
+            "is_stopping": self.is_stopping(),
+            "uptime_ms": now_ms,
+            "requests_in_flight": self.in_flight(),
+            "requests_struck": self.strikes.len(),
+            "requests_quarantined": self.strikes.quarantines(now_ms).len(),
+            "routers": self.router_count(),
+            "router_index": self.fleet_place().index,
+            "config_version": routing.as_ref().map(|routing| routing.version),
+            "servers": servers,
+        })
+    }
+}
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -99,9 +99,14 @@
         FleetPlace { index, routers }
     }
 
-    /// Whether a server still accepts requests, as the same incarnation at the same address.
+    /// Whether a server still accepts requests, as the same incarnation at the same address. Asked
+    /// right before a request is written. While the routes are out of date, as after a pause of the
+    /// process, the server's zone may have been evacuated without this router's knowledge.
     pub fn accepts_requests(&self, server: &Registration) -> bool {
         let now_ms = self.now_ms();
+        if self.has_outdated_routes() || self.evacuated_since_ms(&server.zone).is_some() {
+            return false;
+        }
         let is_pausing = self.reachability.pause_end_ms(server, now_ms).is_some();
         let registry = self.registry.lock();
         let current = registry.get(&server.id, now_ms);
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -2,27 +2,109 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::{Change, Registration};
 use crate::decide::table_position::Era;
 use crate::gateway::state::State;
 use crate::gateway::table::{Row, RowEffect, TableHandler};
-use crate::ids::ServerId;
+use crate::ids::{ServerId, ZoneId};
 
 /// Decodes the content of a row; the error says why the row cannot be used.
 pub type Decode<T> = fn(key: &str, content: &[u8]) -> Result<T, String>;
 
+/// What a key of the routes table stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RoutesKey {
+    /// The row with the routing table.
+    Routing,
+    /// The row that evacuates an availability zone while it exists.
+    Evacuation(ZoneId),
+}
+
+/// Decodes the rows of the routes table; each error says why a row cannot be used.
+#[derive(Debug, Clone, Copy)]
+pub struct RoutesDecoder {
+    /// Decodes a key.
+    pub key: fn(&str) -> Result<RoutesKey, String>,
+    /// Decodes the routing table.
+    pub routing: Decode<RoutingTable>,
+    /// Checks the content of a row that evacuates a zone.
+    pub evacuation: Decode<()>,
+}
+
 /// Applies the rows of the routes table.
 pub struct RoutingHandler {
-    /// State whose routing table is updated.
+    /// State whose routing table and evacuations are updated.
     pub state: Arc<State>,
-    /// Decodes a row's content.
-    pub decode: Decode<RoutingTable>,
+    /// Decodes the rows.
+    pub decoder: RoutesDecoder,
 }
 
 impl RoutingHandler {
+    /// The zone that a row evacuates; `None` for the row of the routing table. A row that is not valid
+    /// is logged.
+    fn decode_key(&self, key: &str) -> Result<Option<ZoneId>, ()> {
+        match (self.decoder.key)(key) {
+            Ok(RoutesKey::Routing) => Ok(None),
+            Ok(RoutesKey::Evacuation(zone)) => Ok(Some(zone)),
+            Err(problem) => {
+                log_unreadable(key, &problem);
+                Err(())
+            }
+        }
+    }
+
+    /// Whether the content of a row that evacuates a zone is valid; logs it if not.
+    fn is_evacuation(&self, key: &str, content: &[u8]) -> bool {
+        let decoded = (self.decoder.evacuation)(key, content);
+        decoded
+            .map_err(|problem| log_unreadable(key, &problem))
+            .is_ok()
+    }
+
+    /// Applies the evacuations of a snapshot.
+    fn replace_evacuations(&self, rows: &[Row]) {
+        let (mut listed, mut unreadable) = (IndexSet::new(), IndexSet::new());
+        for row in rows {
+            let (Ok(Some(zone)), Some(content)) = (self.decode_key(&row.key), &row.content) else {
+                continue;
+            };
+            match self.is_evacuation(&row.key, content) {
+                true => listed.insert(zone),
+                false => unreadable.insert(zone),
+            };
+        }
+        self.state.replace_evacuations(&listed, &unreadable);
+    }
+
+    /// Applies a row that evacuates a zone, or its removal.
+    fn apply_evacuation(&self, zone: &ZoneId, row: &Row) -> RowEffect {
+        match &row.content {
+            Some(content) if !self.is_evacuation(&row.key, content) => return RowEffect::Outdated,
+            Some(_) => self.state.evacuate_zone(zone),
+            None => self.state.restore_zone(zone),
+        }
+        RowEffect::Publish
+    }
+
+    /// Applies the row of the routing table.
+    fn apply_routing(&self, row: &Row) -> RowEffect {
+        let key = &row.key;
+        let Some(content) = &row.content else {
+            log::warn!("event=routes_removed key={key}");
+            return RowEffect::Outdated;
+        };
+        match (self.decoder.routing)(key, content) {
+            Ok(table) => self.set_table(table),
+            Err(problem) => {
+                log_unreadable(key, &problem);
+                RowEffect::Outdated
+            }
+        }
+    }
+
     /// Puts a table in force unless a newer one is.
     fn set_table(&self, table: RoutingTable) -> RowEffect {
         let mut routing = self.state.routing.write();
@@ -49,42 +131,57 @@
     }
 }
 
+fn log_unreadable(key: &str, problem: &str) {
+    log::warn!("event=routes_unreadable key={key} problem=\"{problem}\"");
+}
+
 impl TableHandler for RoutingHandler {
+    /// Applies the evacuations first: with a routing table in force, requests are sent.
     fn replace(&self, rows: &[Row]) -> Vec<RowEffect> {
-        rows.iter().map(|row| self.apply(row)).collect()
+        self.replace_evacuations(rows);
+        let effect = |row: &Row| match (self.decoder.key)(&row.key) {
+            Ok(RoutesKey::Routing) => self.apply_routing(row),
+            Ok(RoutesKey::Evacuation(_)) => match &row.content {
+                Some(content) if (self.decoder.evacuation)(&row.key, content).is_err() => {
+                    RowEffect::Outdated
+                }
+                _ => RowEffect::Publish,
+            },
+            Err(_) => RowEffect::Outdated,
+        };
+        rows.iter().map(effect).collect()
     }
 
     fn apply(&self, row: &Row) -> RowEffect {
-        let key = &row.key;
-        match row
-            .content
-            .as_ref()
-            .map(|content| (self.decode)(key, content))
-        {
-            Some(Ok(table)) => self.set_table(table),
-            Some(Err(problem)) => {
-                log::warn!("event=routes_unreadable key={key} problem=\"{problem}\"");
-                RowEffect::Outdated
-            }
-            None => {
-                log::warn!("event=routes_removed key={key}");
-                RowEffect::Outdated
-            }
+        match self.decode_key(&row.key) {
+            Ok(None) => self.apply_routing(row),
+            Ok(Some(zone)) => self.apply_evacuation(&zone, row),
+            Err(()) => RowEffect::Outdated,
         }
     }
 
-    /// The operator replaces a configuration and never removes it.
+    /// The operator replaces a configuration and never removes it. An evacuation ends with its row,
+    /// unless it is kept after a restore of the source.
     fn keeps_missing(&self, key: &str) -> bool {
-        log::warn!("event=routes_missing key={key}");
-        true
+        match (self.decoder.key)(key) {
+            Ok(RoutesKey::Routing) => {
+                log::warn!("event=routes_missing key={key}");
+                true
+            }
+            Ok(RoutesKey::Evacuation(zone)) => self.state.evacuated_since_ms(&zone).is_some(),
+            Err(_) => false,
+        }
     }
 
     fn take_snapshot_due(&self) -> bool {
-        false
+        self.state.take_evacuation_snapshot_due()
     }
 
     fn begin_snapshot(&self, era: Era, is_restored: bool) {
         self.state.metrics.record_source_era(era, is_restored);
+        if is_restored {
+            self.state.record_evacuations_restored();
+        }
     }
 
     fn source_unavailable(&self) {
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -27,6 +27,7 @@
     first_answer_ms: Histogram<f64>,
     source_era: Gauge<u64>,
     source_restores: Counter<u64>,
+    evacuated_zones: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -74,6 +75,10 @@
                     "Times that the source of the routes came back from an older copy",
                 )
                 .build(),
+            evacuated_zones: meter
+                .u64_gauge("gateway.evacuated_zones")
+                .with_description("Availability zones whose servers get no requests")
+                .build(),
             exporter,
         })
     }
@@ -86,6 +91,11 @@
         self.source_restores.add(u64::from(is_restored), &[]);
     }
 
+    /// Records the number of evacuated availability zones.
+    pub fn record_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.record(zones as u64, &[]);
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, outcome: &'static str) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
