Bound the requests of all routers to cold servers

A server of a service with ColdS and ColdPerS counts as cold after it joins, restarts, is reached again or its zone is restored, or if its row or a response says so, until a later statement. Cold servers come after warm ones and get light prompts only while there are warm ones. decide::capacity reduces what is known of a server to one availability, which placement, the check before each write and the state dump ask.

--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -78,6 +78,17 @@
 pub struct RoutedService {
     /// Maximum number of connections that each server of the service accepts in total.
     pub connections_max: u32,
+    /// How long its servers are cold; `None` if it has no cold servers.
+    pub cold: Option<ColdService>,
+}
+
+/// Behavior of a service's servers after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdService {
+    /// Time for which a server is cold after its start.
+    pub cold_ms: u64,
+    /// Requests a second that a cold server tolerates from all routers together.
+    pub per_s: f64,
 }
 
 /// The team that a key belongs to, with its priority.
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::cold_start::{ColdLimit, ColdShare};
 use crate::decide::pause::Pause;
 use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room, ServerLimit};
 use crate::ids::{Incarnation, ServerId};
@@ -36,12 +37,15 @@
 struct Entry {
     /// Time of the next probe; none while the server is reachable.
     probe_at_ms: Option<u64>,
+    /// Time from which the server could not be reached; none while it is reachable.
+    unreachable_since_ms: Option<u64>,
     fault_rate: f64,
     outcomes: u32,
     penalty_until_ms: u64,
     penalties: u32,
     pause: Option<Pause>,
     limit: Option<ServerLimit>,
+    cold_share: Option<ColdShare>,
 }
 
 /// Observed health of all servers; a server without observations counts as healthy.
@@ -68,13 +72,17 @@
         let entry = self.entries.entry(server.clone()).or_default();
         let is_change = entry.probe_at_ms.is_none();
         entry.probe_at_ms = Some(now_ms + PROBE_MS);
+        entry.unreachable_since_ms.get_or_insert(now_ms);
         is_change
     }
 
     /// Records that a connection was opened; returns whether the server was unreachable before.
     pub fn record_reached(&mut self, server: &ServerId) -> bool {
-        let entry = self.entries.get_mut(server);
-        entry.is_some_and(|entry| entry.probe_at_ms.take().is_some())
+        let Some(entry) = self.entries.get_mut(server) else {
+            return false;
+        };
+        entry.unreachable_since_ms = None;
+        entry.probe_at_ms.take().is_some()
     }
 
     /// Records that a server accepts no further connection, or refused a request without running
@@ -166,12 +174,39 @@
         })
     }
 
+    /// Whether a cold server has room for a request of this router.
+    pub fn cold_room(
+        &mut self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        limit: ColdLimit,
+        now_ms: u64,
+    ) -> Room {
+        let entry = self.entries.entry(server.clone()).or_default();
+        let share = entry
+            .cold_share
+            .get_or_insert_with(|| ColdShare::new(incarnation, limit, now_ms));
+        share.room(server, incarnation, limit, now_ms)
+    }
+
+    /// Forgets a server's cold share when it has become warm.
+    pub fn end_cold(&mut self, server: &ServerId) {
+        if let Some(entry) = self.entries.get_mut(server) {
+            entry.cold_share = None;
+        }
+    }
+
     /// Records that a request is sent to a server.
     pub fn take_limit(&mut self, server: &ServerId) {
-        let limit = self.entries.get_mut(server);
-        if let Some(limit) = limit.and_then(|entry| entry.limit.as_mut()) {
+        let Some(entry) = self.entries.get_mut(server) else {
+            return;
+        };
+        if let Some(limit) = entry.limit.as_mut() {
             limit.take();
         }
+        if let Some(share) = entry.cold_share.as_mut() {
+            share.take();
+        }
     }
 
     /// A server's limit in requests a second; `None` if it names none.
@@ -233,6 +268,11 @@
         entry.is_none_or(|entry| entry.probe_at_ms.is_none())
     }
 
+    /// Time from which a server could not be reached; `None` if it can be.
+    pub fn unreachable_since_ms(&self, server: &ServerId) -> Option<u64> {
+        self.entries.get(server)?.unreachable_since_ms
+    }
+
     /// Removes the unreachable servers from the candidates and moves those with a penalty, and those
     /// whose pause or limit has just ended, to the end.
     pub fn order(&self, candidates: Vec<ServerId>, now_ms: u64) -> Vec<ServerId> {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,8 +5,10 @@
 //! inputs replays to the same outputs.
 
 pub mod admit;
+pub mod capacity;
 pub mod choose;
 pub mod claim;
+pub mod cold_start;
 pub mod evacuation;
 pub mod fair_share;
 pub mod fleet_counts;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -49,6 +49,8 @@
     pub incarnation: Incarnation,
     /// Number of the heartbeat within this incarnation.
     pub sequence: u64,
+    /// Time for which the server was still cold when it wrote the row.
+    pub cold_left_ms: u64,
 }
 
 /// Effect of a row's change on the registry.
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -10,6 +10,7 @@
         is_leaving: false,
         incarnation: Incarnation(incarnation),
         sequence,
+        cold_left_ms: 0,
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -383,6 +383,9 @@
             .reachability
             .record_pause(server, pause, &routed.id, now_ms);
     }
+    if let Some(cold_ms) = notice.cold_ms {
+        state.record_cold_response(server, cold_ms, sent_ms);
+    }
     if let Some(load) = notice.load {
         record_load(state, server, load);
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -288,7 +288,7 @@
         state.record_run(&routed.service, elapsed_ms);
     }
     state.metrics.count_attempt("answered");
-    state.reachability.record_reached(&server.id);
+    state.reachability.record_reached(&server.id, now_ms);
     let is_fault = response.status.is_server_error();
     state
         .reachability
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -98,6 +99,7 @@
         let servers = Arc::new(ServerHandler {
             state: Arc::clone(state),
             decode: self.decode_server,
+            has_snapshot: AtomicBool::new(false),
         });
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
@@ -269,7 +271,10 @@
         ServerLimits::default(),
         move |request| {
             let response = match request.uri().path() {
-                "/metrics" => text_response(StatusCode::OK, shared.metrics.render()),
+                "/metrics" => {
+                    shared.record_held_back();
+                    text_response(StatusCode::OK, shared.metrics.render())
+                }
                 "/dump" => json_response(StatusCode::OK, &shared.dump()),
                 _ => text_response(StatusCode::NOT_FOUND, "no such page\n"),
             };
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -4,12 +4,12 @@
 
 use rand::RngExt;
 
+use crate::decide::capacity::{Availability, Hold, HoldReason};
 use crate::decide::placement::{
     AtCapacity, PromptDemand, Server, place, prefer_limited, smooth_counts,
 };
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
-use crate::decide::server_limit::Room;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
@@ -46,8 +46,8 @@
     Paused { until_ms: u64 },
     /// All servers are at capacity.
     AtCapacity,
-    /// This router's shares of the limits of all servers are used up, the first one until the given
-    /// time; `None` if it has no share.
+    /// This router's shares of the limits of all servers, and of the requests that cold servers take,
+    /// are used up, the first one until the given time; `None` if it has no share.
     AtLimit { until_ms: Option<u64> },
     /// All servers are in availability zones that the operator has evacuated.
     Evacuated,
@@ -60,30 +60,91 @@
     routed: &RoutedRequest,
     history: &AttemptHistory,
 ) -> Result<Registration, NoSelection> {
-    let now_ms = state.now_ms();
-    let pause_end_ms = |server: &Registration| state.reachability.pause_end_ms(server, now_ms);
-    let is_evacuated = |server: &Registration| state.evacuated_since_ms(&server.zone).is_some();
     let available = state.available_servers(&routed.service);
-    let (evacuated, available): (Vec<_>, Vec<_>) = available.into_iter().partition(is_evacuated);
-    if available.is_empty() && !evacuated.is_empty() {
-        return Err(NoSelection::Evacuated);
+    let (open, held) = split_available(state, routed, history, available);
+    if open.is_empty() {
+        return Err(no_open_server(&held, history));
+    }
+    let (cold, warm): (Vec<_>, Vec<_>) = open.into_iter().partition(|(_, is_cold)| *is_cold);
+    let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
+    let is_light = state.record_prompt_size(&routed.service, shared_tokens);
+    // The few requests that cold servers take are left to light prompts while there are warm servers.
+    let may_use_cold = is_light || warm.is_empty();
+    let mut selected = Err(NoSelection::AtCapacity);
+    for (servers, may_use) in [(warm, true), (cold, may_use_cold)] {
+        if selected.is_err() && may_use && !servers.is_empty() {
+            let servers = servers.into_iter().map(|(server, _)| server).collect();
+            selected = select_among(state, routed, servers, is_light);
+        }
+    }
+    selected
+}
+
+/// A server, and why it is held back.
+type HeldServer = (Registration, Hold);
+
+/// Splits servers into those that may get this request, with whether each is cold, and those that are
+/// held back. Servers that were tried before are left out of the former.
+fn split_available(
+    state: &State,
+    routed: &RoutedRequest,
+    history: &AttemptHistory,
+    available: Vec<Registration>,
+) -> (Vec<(Registration, bool)>, Vec<HeldServer>) {
+    let (mut open, mut held) = (Vec::new(), Vec::new());
+    for (server, availability) in state.availabilities(&routed.service, available) {
+        match availability {
+            Availability::Open { is_cold } if !history.excludes(&server.id) => {
+                open.push((server, is_cold));
+            }
+            Availability::Open { .. } => {}
+            Availability::Held(hold) => held.push((server, hold)),
+        }
+    }
+    (open, held)
+}
+
+/// Why no server may get a request, from what holds them back.
+fn no_open_server(held: &[HeldServer], history: &AttemptHistory) -> NoSelection {
+    let is_limit = |reason| matches!(reason, HoldReason::Cold | HoldReason::AtLimit);
+    let is_tried = |server: &Registration| history.excludes(&server.id);
+    let mut limited = held
+        .iter()
+        .filter(|(server, hold)| is_limit(hold.reason) && !is_tried(server))
+        .map(|(_, hold)| hold.until_ms)
+        .peekable();
+    if limited.peek().is_some() {
+        let until_ms = limited.flatten().min();
+        return NoSelection::AtLimit { until_ms };
     }
-    let (mut servers, paused): (Vec<_>, Vec<_>) = available
-        .into_iter()
-        .partition(|server| pause_end_ms(server).is_none());
-    servers.retain(|server| !history.excludes(&server.id));
-    if servers.is_empty() {
-        return Err(match paused.iter().filter_map(pause_end_ms).min() {
-            Some(until_ms) => NoSelection::Paused { until_ms },
-            None => NoSelection::Rejected(Rejection::NoServer {
-                retry_after_ms: random_retry_after_ms(),
-            }),
-        });
+    let has = |reason| held.iter().filter(move |(_, hold)| hold.reason == reason);
+    if let Some(until_ms) = has(HoldReason::Paused)
+        .filter_map(|(_, hold)| hold.until_ms)
+        .min()
+    {
+        return NoSelection::Paused { until_ms };
     }
-    let until_ms = retain_with_room(state, &mut servers, now_ms);
-    if servers.is_empty() {
-        return Err(NoSelection::AtLimit { until_ms });
+    let evacuated = has(HoldReason::Evacuated).count();
+    if evacuated > 0 && evacuated == held.len() && history.servers.is_empty() {
+        return NoSelection::Evacuated;
     }
+    no_server()
+}
+
+fn no_server() -> NoSelection {
+    NoSelection::Rejected(Rejection::NoServer {
+        retry_after_ms: random_retry_after_ms(),
+    })
+}
+
+/// Selects one of these servers.
+fn select_among(
+    state: &State,
+    routed: &RoutedRequest,
+    servers: Vec<Registration>,
+    is_light: bool,
+) -> Result<Registration, NoSelection> {
+    let now_ms = state.now_ms();
     let mut candidates: Vec<Server> = servers
         .iter()
         .map(|server| Server {
@@ -103,34 +164,13 @@
     });
     let placed = place(&candidates, prompt, rand::rng().random());
     let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
-    let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
-    let is_light = state.record_prompt_size(&routed.service, shared_tokens);
     if is_light {
         prefer_limited(&mut ordered, &state.reachability.limited(&servers, now_ms));
     }
     let ordered = state.reachability.order(ordered, now_ms);
     let first = ordered.into_iter().next();
     let selected = first.and_then(|id| servers.into_iter().find(|server| server.id == id));
-    selected.ok_or_else(|| {
-        NoSelection::Rejected(Rejection::NoServer {
-            retry_after_ms: random_retry_after_ms(),
-        })
-    })
-}
-
-/// Removes the servers whose limits leave no room for a request of this router; returns when the
-/// first of them has room again, if any has.
-fn retain_with_room(state: &State, servers: &mut Vec<Registration>, now_ms: u64) -> Option<u64> {
-    let fleet_place = state.fleet_place();
-    let mut first_ms = None;
-    servers.retain(|server| {
-        let room = state.reachability.limit_room(server, fleet_place, now_ms);
-        if let Room::UsedUp(until_ms) = room {
-            first_ms = first_ms.into_iter().chain(until_ms).min();
-        }
-        room == Room::Free
-    });
-    first_ms
+    selected.ok_or_else(no_server)
 }
 
 /// Minimum number of shared tokens for which fetching them from another server is faster than
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -107,6 +107,8 @@
     pub limit: LimitNotice,
     /// Its load, if it reports one.
     pub load: Option<LoadReport>,
+    /// Time in ms for which it is cold, if it states one; 0 if it is warm.
+    pub cold_ms: Option<u64>,
 }
 
 /// Decoded headers of a server's response.
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
+use crate::decide::cold_start::{ColdCause, ColdLimit, ColdStarts};
 use crate::decide::health::ServerHealth;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
@@ -48,6 +49,8 @@
 #[derive(Debug, Default)]
 pub struct Reachability {
     health: Mutex<ServerHealth>,
+    /// Which servers count as cold.
+    pub(super) cold_starts: Mutex<ColdStarts>,
     last_activity: Mutex<IndexMap<ServerId, LastActivity>>,
     /// Time at which each silent server was probed last.
     probed_ms: Mutex<IndexMap<ServerId, u64>>,
@@ -73,10 +76,12 @@
         }
     }
 
-    /// Records that a server was reached.
-    pub fn record_reached(&self, server: &ServerId) {
+    /// Records that a server was reached. One that could not be reached before may have started anew.
+    pub fn record_reached(&self, server: &ServerId, now_ms: u64) {
         if self.health.lock().record_reached(server) {
             log::info!("event=server_reached_again server={server}");
+            let mut cold_starts = self.cold_starts.lock();
+            cold_starts.record_event(server, ColdCause::ReachedAgain, now_ms);
         }
     }
 
@@ -130,6 +135,17 @@
         health.limit_room(&server.id, server.incarnation, place, now_ms)
     }
 
+    /// Whether a cold server has room for a request of this router; [`Self::take_limit`] takes it.
+    pub fn cold_room(&self, server: &Registration, limit: ColdLimit, now_ms: u64) -> Room {
+        let mut health = self.health.lock();
+        health.cold_room(&server.id, server.incarnation, limit, now_ms)
+    }
+
+    /// Forgets a server's cold share when it has become warm.
+    pub fn end_cold(&self, server: &ServerId) {
+        self.health.lock().end_cold(server);
+    }
+
     /// Records that a request is sent to a server.
     pub fn take_limit(&self, server: &ServerId) {
         self.health.lock().take_limit(server);
@@ -166,9 +182,10 @@
         self.health.lock().order(candidates, now_ms)
     }
 
-    /// Whether a server can be reached, as far as known; true for servers never tried.
-    pub fn is_reachable(&self, server: &ServerId) -> bool {
-        self.health.lock().is_reachable(server)
+    /// Time from which a server could not be reached; `None` if it can be, as far as known, as for
+    /// servers never tried.
+    pub fn unreachable_since_ms(&self, server: &ServerId) -> Option<u64> {
+        self.health.lock().unreachable_since_ms(server)
     }
 
     /// Whether a silent server is to be probed now, for all requests that wait for it.
@@ -200,7 +217,9 @@
     let error = match state.pool.connect(server.address).await {
         Ok(connection) => {
             state.pool.release(server.address, connection);
-            state.reachability.record_reached(&server.id);
+            state
+                .reachability
+                .record_reached(&server.id, state.now_ms());
             return;
         }
         Err(error) => error,
@@ -216,7 +235,7 @@
     );
     match failure {
         // A server that closes a new connection at once is reachable.
-        ConnectFailure::ConnectionLimit => state.reachability.record_reached(&server.id),
+        ConnectFailure::ConnectionLimit => state.reachability.record_reached(&server.id, now_ms),
         ConnectFailure::Refused | ConnectFailure::NoAnswer => {
             state.pool.close_idle(server.address);
             state.reachability.record_unreachable(&server.id, now_ms);
@@ -257,6 +276,7 @@
 pub async fn probe_loop(state: Arc<State>) {
     loop {
         smol::Timer::after(PROBE_INTERVAL).await;
+        state.review_cold_servers();
         let due = state.reachability.due_probes(state.now_ms());
         if due.is_empty() {
             continue;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::control::strikes::Strikes;
+use crate::decide::cold_start::{ColdBounds, SettledPlace};
 use crate::decide::evacuation::Evacuations;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::overload::Overload;
@@ -56,6 +57,8 @@
     pub connections_max: usize,
     /// Limit on the retries of all routers together.
     pub retry_limit: FleetRetryLimit,
+    /// Bounds on the requests to cold servers; `None` if no server is cold.
+    pub cold_bounds: Option<ColdBounds>,
     /// Time from the stop signal until the platform kills the process.
     pub stop_grace_ms: u64,
     /// Longest time for which a leaving server may still receive requests.
@@ -114,6 +117,7 @@
     pub(super) routing: RwLock<Option<Arc<RoutingTable>>>,
     pub(super) registry: Mutex<Registry>,
     evacuations: RwLock<Evacuations>,
+    settled_place: Mutex<SettledPlace>,
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     overloads: Mutex<IndexMap<ServiceId, Overload>>,
     run_ms: Mutex<IndexMap<ServiceId, f64>>,
@@ -179,6 +183,7 @@
             routing: RwLock::default(),
             registry: Mutex::default(),
             evacuations: RwLock::default(),
+            settled_place: Mutex::default(),
             retry_windows: Mutex::default(),
             overloads: Mutex::default(),
             run_ms: Mutex::default(),
--- a/src/gateway/state/dump.rs
+++ b/src/gateway/state/dump.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 
+use crate::decide::capacity::Availability;
 use crate::gateway::state::State;
 
 impl State {
@@ -10,6 +11,7 @@
         let now_ms = self.now_ms();
         let settings = self.settings();
         let routing = self.routing();
+        let availabilities = self.all_availabilities();
         let registry = self.registry.lock();
         let servers: Vec<Value> = registry
             .all()
@@ -22,7 +24,15 @@
                     "is_leaving": server.is_leaving,
                     "leaving_source": registry.leaving_source(&server.id).map(|s| s.as_str()),
                     "incarnation": server.incarnation,
-                    "is_reachable": self.reachability.is_reachable(&server.id),
+                    "is_reachable": self.reachability.unreachable_since_ms(&server.id).is_none(),
+                    "held_back": availabilities
+                        .get(&server.id)
+                        .and_then(|availability| held_back(availability, now_ms)),
+                    "cold": self.cold(server, now_ms).map(|cold| json!({
+                        "cause": cold.cause.as_str(),
+                        "for_ms": now_ms.saturating_sub(cold.since_ms),
+                        "left_ms": cold.until_ms.saturating_sub(now_ms),
+                    })),
                     "paused_for_ms": self
                         .reachability
                         .pause_end_ms(server, now_ms)
@@ -35,10 +45,14 @@
                 })
             })
             .collect();
+        let evacuated_zones = self.evacuated_zones().into_iter().map(|(zone, since_ms)| {
+            json!({"zone": zone, "evacuated_for_ms": now_ms.saturating_sub(since_ms)})
+        });
+        let evacuated_zones: Vec<Value> = evacuated_zones.collect();
         json!({
             "router": settings.name,
             "zone": settings.zone,
-            "evacuated_zones": self.evacuated_zones_json(now_ms),
+            "evacuated_zones": evacuated_zones,
             "is_stopping": self.is_stopping(),
             "uptime_ms": now_ms,
             "requests_in_flight": self.in_flight(),
@@ -51,3 +65,15 @@
         })
     }
 }
+
+/// Why a server gets no request now; `None` if it may get one.
+fn held_back(availability: &Availability, now_ms: u64) -> Option<Value> {
+    let Availability::Held(hold) = availability else {
+        return None;
+    };
+    Some(json!({
+        "reason": hold.reason.as_str(),
+        "for_ms": hold.since_ms.map(|since_ms| now_ms.saturating_sub(since_ms)),
+        "left_ms": hold.until_ms.map(|until_ms| until_ms.saturating_sub(now_ms)),
+    }))
+}
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -104,16 +104,14 @@
     /// process, the server's zone may have been evacuated without this router's knowledge.
     pub fn accepts_requests(&self, server: &Registration) -> bool {
         let now_ms = self.now_ms();
-        if self.has_outdated_routes() || self.evacuated_since_ms(&server.zone).is_some() {
+        if self.has_outdated_routes() || !self.may_write(server, now_ms) {
             return false;
         }
-        let is_pausing = self.reachability.pause_end_ms(server, now_ms).is_some();
         let registry = self.registry.lock();
         let current = registry.get(&server.id, now_ms);
-        !is_pausing
-            && current.is_some_and(|current| {
-                current.incarnation == server.incarnation && current.address == server.address
-            })
+        current.is_some_and(|current| {
+            current.incarnation == server.incarnation && current.address == server.address
+        })
     }
 
     /// Other servers of the same availability zone, of any service, those first that were active
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -1,6 +1,7 @@
 //! Applies rows of the watched tables to the routing table and the server registry.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -199,6 +200,8 @@
     pub state: Arc<State>,
     /// Decodes a row's content.
     pub decode: Decode<Registration>,
+    /// Whether a snapshot was applied.
+    pub has_snapshot: AtomicBool,
 }
 
 impl ServerHandler {
@@ -227,9 +230,11 @@
     }
 }
 
-/// Effect of a server's row that was set.
-fn effect(change: Change) -> RowEffect {
+/// Effect of a server's row that was set; `is_cold_news` is whether other routers need what it says of
+/// the server's cold time.
+fn effect(change: Change, is_cold_news: bool) -> RowEffect {
     match change {
+        Change::None if is_cold_news => RowEffect::Publish,
         Change::None => RowEffect::Skip,
         Change::Outdated => RowEffect::Outdated,
         Change::Joined | Change::Left | Change::Returned | Change::Lapsed => RowEffect::Publish,
@@ -247,6 +252,12 @@
                 None => unreadable.push(ServerId::from(row.key.as_str())),
             }
         }
+        let is_first = !self.has_snapshot.swap(true, Ordering::Relaxed);
+        let rows_by_id = registrations
+            .iter()
+            .cloned()
+            .map(|row| (row.id.clone(), row));
+        let rows_by_id: IndexMap<ServerId, Registration> = rows_by_id.collect();
         let changes = self
             .state
             .registry
@@ -255,7 +266,10 @@
         let mut effects = IndexMap::new();
         for (id, change) in changes {
             log_change(&id, change);
-            effects.insert(id, effect(change));
+            let row = rows_by_id.get(&id);
+            let is_cold_news =
+                row.is_some_and(|row| self.state.record_cold_row(row, change, is_first));
+            effects.insert(id, effect(change, is_cold_news));
         }
         let effect = |row: &Row| effects.get(row.key.as_str()).copied();
         let effects = rows.iter().map(effect);
@@ -267,14 +281,16 @@
         let id = ServerId::from(row.key.as_str());
         let change = match (&row.content, self.decode_row(row)) {
             (None, _) => self.state.registry.lock().remove(&id, now_ms),
-            (Some(_), Some(registration)) => self.state.registry.lock().set(registration, now_ms),
+            (Some(_), Some(registration)) => {
+                let change = self.state.registry.lock().set(registration.clone(), now_ms);
+                log_change(&id, change);
+                let is_cold_news = self.state.record_cold_row(&registration, change, false);
+                return effect(change, is_cold_news);
+            }
             (Some(_), None) => return RowEffect::Skip,
         };
         log_change(&id, change);
-        match row.content {
-            Some(_) => effect(change),
-            None => RowEffect::Publish,
-        }
+        RowEffect::Publish
     }
 
     fn keeps_missing(&self, _key: &str) -> bool {
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -28,6 +28,7 @@
     source_era: Gauge<u64>,
     source_restores: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    held_back_servers: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -79,6 +80,10 @@
                 .u64_gauge("gateway.evacuated_zones")
                 .with_description("Availability zones whose servers get no requests")
                 .build(),
+            held_back_servers: meter
+                .u64_gauge("gateway.held_back_servers")
+                .with_description("Registered servers that get no request now, by reason")
+                .build(),
             exporter,
         })
     }
@@ -96,6 +101,12 @@
         self.evacuated_zones.record(zones as u64, &[]);
     }
 
+    /// Records the number of servers that are held back for this reason.
+    pub fn record_held_back(&self, reason: &'static str, servers: usize) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.held_back_servers.record(servers as u64, &labels);
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, outcome: &'static str) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -91,6 +91,7 @@
     arrivals: Vec<Instant>,
     is_leaving: bool,
     limit: Option<String>,
+    cold_ms: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
@@ -235,6 +236,11 @@
         self.state.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sets the remaining cold time in ms that the server states in its responses; none at first.
+    pub fn set_cold_ms(&self, cold_ms: Option<&str>) {
+        self.state.lock().cold_ms = cold_ms.map(str::to_owned);
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -278,9 +284,13 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
-    let (is_leaving, limit) = {
+    let (is_leaving, limit, cold_ms) = {
         let state = state.lock();
-        (state.is_leaving, state.limit.clone())
+        (state.is_leaving, state.limit.clone(), state.cold_ms.clone())
+    };
+    let response = match cold_ms {
+        Some(cold_ms) => with_header(response, "x-cold-ms", &cold_ms),
+        None => response,
     };
     let response = match is_leaving {
         true => with_header(response, "server-leaving", "1"),
