--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -49,6 +49,8 @@
     pub incarnation: Incarnation,
     /// Number of the heartbeat within this incarnation.
     pub sequence: u64,
+    /// Time for which the server was still cold when it wrote the row.
+    pub cold_left_ms: u64,
 }
 
 /// Effect of a row's change on the registry.
@@ -403,6 +405,11 @@
         Some(entry.registration.address)
     }
 
+    /// Availability zone of a known server, whether or not it accepts new requests.
+    pub fn zone(&self, id: &ServerId) -> Option<&ZoneId> {
+        Some(&self.entries.get(id)?.registration.zone)
+    }
+
     /// Time since a server joined, in ms.
     pub fn known_for_ms(&self, id: &ServerId, now_ms: u64) -> Option<u64> {
         let entry = self.entries.get(id)?;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -288,7 +288,7 @@
         state.record_run(&routed.service, elapsed_ms);
     }
     state.metrics.count_attempt("answered");
-    state.reachability.record_reached(&server.id);
+    state.reachability.record_reached(&server.id, now_ms);
     let is_fault = response.status.is_server_error();
     state
         .reachability
@@ -398,6 +398,9 @@
                 retry_after_ms: pause_ms.max(wait_ms),
             }
         }
+        NoSelection::Evacuated => Rejection::Evacuated {
+            retry_after_ms: placement::random_evacuated_retry_after_ms(),
+        },
         NoSelection::Rejected(rejection) => rejection,
     };
     placement_failure(history, rejection)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,12 +30,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use hyper::StatusCode;
 
 use crate::admin::{json_response, text_response};
-use crate::config::routing::RoutingTable;
 use crate::decide::registry::Registration;
 use crate::edge::clock::{Clock, HostClock};
 use crate::error::Result;
@@ -45,7 +45,7 @@
 use crate::gateway::relay::Mirrors;
 use crate::gateway::state::{GatewaySettings, State};
 use crate::gateway::table::Source;
-use crate::gateway::table_handlers::{Decode, RoutingHandler, ServerHandler};
+use crate::gateway::table_handlers::{Decode, RoutesDecoder, RoutingHandler, ServerHandler};
 use crate::gateway::watch::{PollTiming, watch_table};
 use crate::http::limits::ServerLimits;
 use crate::http::pool::Pool;
@@ -60,8 +60,8 @@
     pub backends: Box<dyn BackendProtocol>,
     /// Watched table of the routes.
     pub routes: Arc<dyn Source>,
-    /// Decodes a row of the routes table.
-    pub decode_routes: Decode<RoutingTable>,
+    /// Decodes the rows of the routes table.
+    pub decode_routes: RoutesDecoder,
     /// Watched table in which backend servers register.
     pub servers: Arc<dyn Source>,
     /// Decodes a server's row.
@@ -82,7 +82,7 @@
 /// The watched tables and the decoders of their rows.
 struct Tables {
     routes: Arc<dyn Source>,
-    decode_routes: Decode<RoutingTable>,
+    decode_routes: RoutesDecoder,
     servers: Arc<dyn Source>,
     decode_server: Decode<Registration>,
     quarantines: Arc<dyn QuarantineStore>,
@@ -93,12 +93,13 @@
     fn watch(self, state: &Arc<State>, stop: &Shutdown) -> Result<()> {
         let routes = Arc::new(RoutingHandler {
             state: Arc::clone(state),
-            decode: self.decode_routes,
+            decoder: self.decode_routes,
         });
         let routes = Arc::new(Mirror::new("routes", routes));
         let servers = Arc::new(ServerHandler {
             state: Arc::clone(state),
             decode: self.decode_server,
+            has_snapshot: AtomicBool::new(false),
         });
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
@@ -270,7 +271,10 @@
         ServerLimits::default(),
         move |request| {
             let response = match request.uri().path() {
-                "/metrics" => text_response(StatusCode::OK, shared.metrics.render()),
+                "/metrics" => {
+                    shared.record_held_back();
+                    text_response(StatusCode::OK, shared.metrics.render())
+                }
                 "/dump" => json_response(StatusCode::OK, &shared.dump()),
                 _ => text_response(StatusCode::NOT_FOUND, "no such page\n"),
             };
