Invalid statuses and early ends of connections are no responses

A status outside 100 to 599 is FailureKind::Foreign on the gateway, a broken response on /v1/chat/completions and lost for the store's client; so is a head that cannot be parsed, which no longer counts as a suspected crash.

The end of a server's connection is an error while bytes written to it are not acknowledged: a server that closed in order during an upload, and reset the connection with the next bytes, had its partial body passed on as complete.

--- a/src/filter/attempt.rs
+++ b/src/filter/attempt.rs
@@ -373,8 +373,12 @@
     Err(AttemptError::unknown(FailureKind::WrongAttempt, reason))
 }
 
-/// Turns the statuses 502 to 504 into failures, which can be retried.
+/// Turns the statuses 502 to 504, which can be retried, and those that are none into failures.
 fn check_status(response: &Response<Incoming>) -> Result<(), AttemptError> {
+    if !framing::is_valid_status(response.status()) {
+        let reason = format!("the response has the status {}", response.status().as_u16());
+        return Err(AttemptError::unknown(FailureKind::Broken, reason));
+    }
     let is_unavailable = matches!(response.status().as_u16(), 502..=504);
     if !is_unavailable {
         return Ok(());
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -183,10 +183,18 @@
             SendError::ConnectionLimit => Failure::new(FailureKind::ConnectionLimit, error),
             SendError::NoResources(_) => Failure::new(FailureKind::NoResources, error),
             SendError::Withheld => Failure::new(FailureKind::Withheld, error),
+            // The server responds, so that it has not crashed.
+            SendError::Broken(error) if error.is_parse() => {
+                Failure::new(FailureKind::Foreign, error)
+            }
             SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
         })?;
     last_activity.record(state.now_ms());
     let (head, body) = response.into_parts();
+    if !framing::is_valid_status(head.status) {
+        let reason = format!("the response has the status {}", head.status.as_u16());
+        return Err(Failure::new(FailureKind::Foreign, reason));
+    }
     let mut response_head = state
         .backends
         .decode(&routed.id, head.status, &head.headers);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 
 use crate::http::connect_failure::ConnectFailure;
+use crate::http::framing;
 use crate::http::pool::connect;
 
 /// Why a call got no response.
@@ -106,6 +107,10 @@
         let exchange = async {
             let response = sender.send_request(request).await.map_err(response_lost)?;
             let (head, body) = response.into_parts();
+            if !framing::is_valid_status(head.status) {
+                let reason = format!("the response has the status {}", head.status.as_u16());
+                return Err(CallError::ResponseLost(reason));
+            }
             let body = body.collect().await.map_err(response_lost)?.to_bytes();
             Ok(ClientResponse {
                 status: head.status.as_u16(),
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -10,6 +10,18 @@
 };
 use hyper::{Method, StatusCode};
 
+/// Whether a status is one of HTTP (RFC 9110, 15). hyper accepts any number from 100 to 999.
+///
+/// ```
+/// use hyper::StatusCode;
+/// use jujubeusher::http::framing::is_valid_status;
+/// assert!(is_valid_status(StatusCode::OK));
+/// assert!(!is_valid_status(StatusCode::from_u16(999).unwrap()));
+/// ```
+pub fn is_valid_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// Fields of a single connection (RFC 9110, 7.6.1).
 const CONNECTION_FIELDS: [&str; 9] = [
     "connection",
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -172,7 +172,7 @@
         let start = Instant::now();
         let stream = connect(address, self.connect_timeout).await?;
         let round_trip = start.elapsed();
-        let socket = Socket::new(stream);
+        let socket = Socket::to_server(stream);
         let probe = socket.probe();
         if let Some(reset_wait) = self.reset_wait {
             smol::Timer::after(round_trip.min(ROUND_TRIP_MAX) + reset_wait).await;
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, IoSlice, Read as _, Write as _};
 use std::net::Shutdown;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
@@ -38,6 +38,8 @@
     is_read_empty: bool,
     is_write_full: bool,
     last_read: Instant,
+    /// Whether the peer must have received all that was written before it ends its side.
+    is_end_checked: bool,
 }
 
 impl Socket {
@@ -48,6 +50,18 @@
             is_read_empty: false,
             is_write_full: false,
             last_read: Instant::now(),
+            is_end_checked: false,
+        }
+    }
+
+    /// Wraps a stream to a server, whose end is an error while bytes written to it are not
+    /// acknowledged. A server that closes its connection without having read the request resets it
+    /// with the bytes that follow, and may have cut its response off; one that has read the request
+    /// acknowledges it at the latest with the end.
+    pub fn to_server(stream: TcpStream) -> Self {
+        Self {
+            is_end_checked: true,
+            ..Self::new(stream)
         }
     }
 
@@ -108,6 +122,9 @@
             }
             self.last_read = Instant::now();
             match (&mut self.stream.get_ref()).read(block) {
+                Ok(0) if self.is_end_checked && has_unacknowledged_bytes(&self.stream) => {
+                    return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+                }
                 Ok(length) => {
                     self.is_read_empty = length < block.len();
                     return Poll::Ready(Ok(length));
@@ -120,6 +137,14 @@
     }
 }
 
+/// Whether the peer has not acknowledged all bytes that were written.
+fn has_unacknowledged_bytes(stream: &Async<std::net::TcpStream>) -> bool {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open, and TIOCOUTQ writes one integer.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+    result == 0 && bytes > 0
+}
+
 /// Sets whether closing the stream resets its connection, by a linger time of zero.
 pub fn set_reset_on_close<S>(stream: &S, is_reset: bool)
 where
