--- a/tests/response_integrity.rs
+++ b/tests/response_integrity.rs
@@ -223,6 +223,25 @@
     }
 }
 
+/// Guards against a status that is none, which hyper accepts and which was passed on.
+#[test]
+fn response_with_a_status_that_is_none_is_rejected() {
+    let (env, router) = open(2, |options| options);
+    for status in [600, 999] {
+        for engine in &env.engines {
+            engine.set_faults(Faults {
+                status: Some(status),
+                ..Faults::default()
+            });
+        }
+        for body in [stream_body("c"), stream_body("c").replace("true", "false")] {
+            let response = read_response(send_chat(router.address, "c", "", &body));
+            assert_eq!(response.status, 502, "{status}: {response:?}");
+            assert_eq!(response.header("x-run-state"), Some("unknown"));
+        }
+    }
+}
+
 /// Guards against a failure of a stream that has neither a length nor chunks and ends with its
 /// connection: its last event tells that it is complete. If it ends before that, it is resumed.
 #[test]
