--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -5,9 +5,9 @@
 //! itself.
 
 use std::cell::RefCell;
-use std::io::{self, ErrorKind, Read as _, Write as _};
+use std::io::{self, ErrorKind, IoSlice, Read as _, Write as _};
 use std::net::Shutdown;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
@@ -38,6 +38,8 @@
     is_read_empty: bool,
     is_write_full: bool,
     last_read: Instant,
+    /// Whether the peer must have received all that was written before it ends its side.
+    is_end_checked: bool,
 }
 
 impl Socket {
@@ -48,6 +50,18 @@
             is_read_empty: false,
             is_write_full: false,
             last_read: Instant::now(),
+            is_end_checked: false,
+        }
+    }
+
+    /// Wraps a stream to a server, whose end is an error while bytes written to it are not
+    /// acknowledged. A server that closes its connection without having read the request resets it
+    /// with the bytes that follow, and may have cut its response off; one that has read the request
+    /// acknowledges it at the latest with the end.
+    pub fn to_server(stream: TcpStream) -> Self {
+        Self {
+            is_end_checked: true,
+            ..Self::new(stream)
         }
     }
 
@@ -78,6 +92,24 @@
         })
     }
 
+    /// Calls `send` until it writes something or fails otherwise than by a full socket.
+    fn poll_send<S>(&mut self, cx: &mut Context<'_>, send: S) -> Poll<io::Result<usize>>
+    where
+        S: Fn(&std::net::TcpStream) -> io::Result<usize>,
+    {
+        loop {
+            if self.is_write_full {
+                ready!(self.stream.poll_writable(cx))?;
+                self.is_write_full = false;
+            }
+            match send(self.stream.get_ref()) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.is_write_full = true,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
     /// Reads into `block`. A read that does not fill it has emptied the socket.
     fn poll_block(&mut self, cx: &mut Context<'_>, block: &mut [u8]) -> Poll<io::Result<usize>> {
         if self.is_read_empty && self.last_read.elapsed() >= UNPROMPTED_READ_AFTER {
@@ -90,6 +122,9 @@
             }
             self.last_read = Instant::now();
             match (&mut self.stream.get_ref()).read(block) {
+                Ok(0) if self.is_end_checked && has_unacknowledged_bytes(&self.stream) => {
+                    return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+                }
                 Ok(length) => {
                     self.is_read_empty = length < block.len();
                     return Poll::Ready(Ok(length));
@@ -102,6 +137,14 @@
     }
 }
 
+/// Whether the peer has not acknowledged all bytes that were written.
+fn has_unacknowledged_bytes(stream: &Async<std::net::TcpStream>) -> bool {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open, and TIOCOUTQ writes one integer.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+    result == 0 && bytes > 0
+}
+
 /// Sets whether closing the stream resets its connection, by a linger time of zero.
 pub fn set_reset_on_close<S>(stream: &S, is_reset: bool)
 where
@@ -145,18 +188,23 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let socket = self.get_mut();
-        loop {
-            if socket.is_write_full {
-                ready!(socket.stream.poll_writable(cx))?;
-                socket.is_write_full = false;
-            }
-            match (&mut socket.stream.get_ref()).write(bytes) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => socket.is_write_full = true,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        self.get_mut()
+            .poll_send(cx, |mut stream| stream.write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.get_mut()
+            .poll_send(cx, |mut stream| stream.write_vectored(buffers))
+    }
+
+    /// With vectored writes hyper writes a body from its own buffer; without them it copies the whole
+    /// body behind the head first, so that each request would take its body's memory twice.
+    fn is_write_vectored(&self) -> bool {
+        true
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
