Decide how units of fleet-wide limits are minted, divided and spent

Pure state machines, not used yet. A simulation of 86 routers below 3 seeds checks that the requests of all routers stay within the bound while demand moves and routers, links and seeds fail, and that nearly the whole rate is used. Without the wait of a restarted seed, or with validity counted from the receipt of a grant, the simulation fails as it should.

--- /dev/null
+++ b/src/decide/allowance/tests.rs
@@ -0,0 +1,220 @@
+use super::*;
+
+mod tree;
+
+use tree::{Fault, Traffic, Tree};
+
+/// Limit of a cold server on the larger fleet: 11 requests a second, 1.5 x 11 + 5 in any second.
+const COLD: Bound = Bound {
+    rate_per_s: 11.0,
+    window_ms: 1_000,
+    most: 21.5,
+};
+/// Traffic of one service of the larger fleet, in requests a second.
+const SERVICE_PER_S: f64 = 461.0;
+const KEY: LimitKey = LimitKey(5);
+const RUN_MS: u64 = 20_000;
+
+/// Limit that a server announces: 1.5 times as much and 5 more in 4 s.
+fn announced(limit_per_s: f64) -> Bound {
+    Bound {
+        rate_per_s: limit_per_s,
+        window_ms: 4_000,
+        most: 1.5 * 4.0 * limit_per_s + 5.0,
+    }
+}
+
+/// Limits of the simulated fleets.
+fn bounds() -> Vec<Bound> {
+    let limits = [0.1, 0.4, 2.0, 3.4, 25.0, 900.0];
+    let limits = limits.into_iter().map(announced);
+    std::iter::once(COLD).chain(limits).collect()
+}
+
+fn assert_bounded(tree: &Tree, bound: &Bound, case: &str) {
+    let busiest = tree.busiest_window();
+    assert!(
+        busiest as f64 <= bound.most,
+        "{case}, {bound:?}: {busiest} requests in a window"
+    );
+}
+
+/// Guards against shares that are lost where all traffic enters at one router: the fixed senders used
+/// a third of a limit there.
+#[test]
+fn room_all_traffic_at_one_router_uses_nearly_the_whole_rate() {
+    for router in [0, 3, 85] {
+        for bound in [COLD, announced(2.0), announced(25.0), announced(900.0)] {
+            let mut tree = Tree::new(bound);
+            tree.run(RUN_MS, Traffic::One(router, 2_000.0), &[]);
+            assert_bounded(&tree, &bound, "one router");
+            let used = tree.used_share(3_000);
+            assert!(used >= 0.93, "router {router}, {bound:?}: {used}");
+        }
+    }
+}
+
+/// Guards against shares smaller than one request that are lost where the traffic is even.
+#[test]
+fn room_even_traffic_uses_nearly_the_whole_rate() {
+    for bound in [COLD, announced(2.0), announced(25.0), announced(400.0)] {
+        let mut tree = Tree::new(bound);
+        tree.run(RUN_MS, Traffic::Even(SERVICE_PER_S), &[]);
+        assert_bounded(&tree, &bound, "even");
+        let used = tree.used_share(3_000);
+        assert!(used >= 0.85, "{bound:?}: {used}");
+    }
+}
+
+/// Guards against units that are granted twice while the demand moves between routers.
+#[test]
+fn room_sum_stays_bounded_while_demand_moves() {
+    for bound in bounds() {
+        for every_ms in [150, 700, 2_300] {
+            let mut tree = Tree::new(bound);
+            tree.run(RUN_MS, Traffic::Moving(2_000.0, every_ms), &[]);
+            assert_bounded(&tree, &bound, "moving");
+        }
+    }
+}
+
+/// Guards against a sum that exceeds the bound while routers are cut off, paused for seconds and
+/// woken, or restarted, a link delivers late, and seeds lose each other, one by one and together.
+#[test]
+fn room_sum_stays_bounded_during_faults() {
+    let faults = |router: usize, from_ms: u64| {
+        [
+            Fault::Cut(router, from_ms, from_ms + 3_000),
+            Fault::Pause(router, from_ms, from_ms + 2_500),
+            Fault::Restart(router, from_ms),
+            Fault::Late(router, from_ms, from_ms + 4_000, 1_900),
+            Fault::SeedsApart(0, 1, from_ms, from_ms + 4_000),
+        ]
+    };
+    for bound in [COLD, announced(0.4), announced(25.0)] {
+        for (router, traffic) in [
+            (0, Traffic::One(0, 2_000.0)),
+            (85, Traffic::One(85, 2_000.0)),
+            (4, Traffic::Moving(2_000.0, 700)),
+            (1, Traffic::Even(SERVICE_PER_S)),
+        ] {
+            let mut all = Vec::new();
+            for (number, fault) in faults(router, 3_037).into_iter().enumerate() {
+                let mut tree = Tree::new(bound);
+                tree.run(9_000, traffic, &[fault]);
+                assert_bounded(&tree, &bound, &format!("{fault:?} {traffic:?}"));
+                all.push(faults(router, 2_000 + 1_911 * number as u64)[number]);
+            }
+            let mut tree = Tree::new(bound);
+            tree.run(14_000, traffic, &all);
+            assert_bounded(&tree, &bound, &format!("all {traffic:?}"));
+        }
+    }
+}
+
+/// Guards against a seed that mints its part anew each time it is restarted.
+#[test]
+fn room_sum_stays_bounded_while_a_seed_restarts_again_and_again() {
+    for bound in bounds() {
+        for every_ms in [90, 350, 1_100] {
+            let restarts = (1..=40).map(|n| Fault::Restart(0, 1_000 + n * every_ms));
+            let restarts: Vec<Fault> = restarts.collect();
+            for traffic in [Traffic::One(0, 2_000.0), Traffic::Even(2_000.0)] {
+                let mut tree = Tree::new(bound);
+                tree.run(RUN_MS, traffic, &restarts);
+                assert_bounded(&tree, &bound, &format!("every {every_ms} ms"));
+            }
+        }
+    }
+}
+
+/// Guards against a lost seed whose loss takes more than its part of a limit.
+#[test]
+fn room_lost_seed_leaves_the_parts_of_the_others() {
+    let mut tree = Tree::new(COLD);
+    let lost = [Fault::Cut(2, 2_000, RUN_MS)];
+    tree.run(RUN_MS, Traffic::One(0, 2_000.0), &lost);
+    assert_bounded(&tree, &COLD, "lost seed");
+    let used = tree.used_share(5_000);
+    assert!((0.6..0.7).contains(&used), "{used}");
+}
+
+/// Guards against a grant to an earlier process, to another router, or without a report.
+#[test]
+fn apply_grants_without_a_report_of_this_process_is_worth_nothing() {
+    let mut router = Allowances::new(Role::Below(3), 100, 0);
+    router.room(KEY, &COLD, 0);
+    let report = router.report(200).unwrap();
+    let grant = |report| GrantAnswer {
+        report,
+        grants: vec![Grant {
+            key: KEY,
+            units: 1,
+            valid_ms: 500,
+        }],
+    };
+    router.apply_grants(&grant(report.number + 1), 210);
+    assert!(!router.take(KEY, 210));
+    router.apply_grants(&grant(report.number), 210);
+    assert!(router.take(KEY, 210));
+    let mut restarted = Allowances::new(Role::Below(3), 7_000, 0);
+    restarted.room(KEY, &COLD, 200);
+    restarted.report(205).unwrap();
+    restarted.apply_grants(&grant(report.number), 210);
+    assert!(!restarted.take(KEY, 210));
+}
+
+/// Guards against a grant that is worth more because it was in transit for long.
+#[test]
+fn apply_grants_validity_counts_from_the_report() {
+    for (arrives_ms, is_valid) in [(250, true), (699, true), (700, false), (5_000, false)] {
+        let mut router = Allowances::new(Role::Below(3), 100, 0);
+        router.room(KEY, &COLD, 0);
+        let report = router.report(200).unwrap().number;
+        let grants = vec![Grant {
+            key: KEY,
+            units: 1,
+            valid_ms: 500,
+        }];
+        router.apply_grants(&GrantAnswer { report, grants }, arrives_ms);
+        assert_eq!(router.take(KEY, arrives_ms), is_valid, "at {arrives_ms} ms");
+    }
+}
+
+/// Guards against messages that report limits nobody asks for.
+#[test]
+fn report_without_demand_is_none() {
+    let mut router = Allowances::new(Role::Below(3), 100, 0);
+    assert_eq!(router.report(0), None);
+    router.room(KEY, &COLD, 0);
+    assert!(router.report(200).is_some());
+    assert_eq!(router.report(10_000), None);
+}
+
+/// Guards against a report that leaves the same limits out each time.
+#[test]
+fn report_many_limits_are_reported_in_turn() {
+    let mut router = Allowances::new(Role::Below(3), 100, 0);
+    let mut reported = indexmap::IndexSet::new();
+    for round in 0..3 {
+        (0..150).for_each(|key| _ = router.room(LimitKey(key), &COLD, round * 200));
+        let report = router.report(round * 200 + 100).unwrap();
+        assert!(report.demands.len() <= DEMANDS_MAX);
+        reported.extend(report.demands.iter().map(|demand| demand.key));
+    }
+    assert_eq!(reported.len(), 150);
+}
+
+/// Guards against terms under which the units of all seeds exceed a bound.
+#[test]
+fn terms_units_of_all_seeds_fit_the_bound() {
+    for bound in bounds() {
+        for seeds in 1..=3 {
+            let terms = bound.terms(seeds);
+            assert!(terms.valid_ms >= 499, "{terms:?}");
+            let span_ms = bound.window_ms + terms.valid_ms + HOLD_MS + TRANSIT_MS;
+            let units = (span_ms * 1_000).div_ceil(terms.period_us) * u64::from(seeds);
+            assert!(units as f64 <= bound.most, "{bound:?} {seeds}: {units}");
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 //! inputs replays to the same outputs.
 
 pub mod admit;
+pub mod allowance;
 pub mod choose;
 pub mod claim;
 pub mod fair_share;
