Divide the limits that servers name by traffic

Demands and grants are new fields of the relay's messages, absent without a limit in use; older routers ignore them, and those below one get no units. State::limit_room and State::take_limit replace the functions of Reachability of the same names, which used fixed senders and the router's place in the fleet.

The tests of the fixed senders in decide::server_limit are replaced in decide::allowance, with the same bounds, limits and sizes of the fleet: room_sum_over_all_routers_... (also with one and three seeds); routers without a place, which had a small share, by room_router_without_a_link_has_none; the burst of a router that takes over a place by the restarts in room_sum_stays_bounded_... A limit below 0.1 is tested as 0.1, to which ServerLimit raises it.

--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::decide::server_limit;
 
 mod tree;
 
@@ -15,13 +16,11 @@
 const KEY: LimitKey = LimitKey(5);
 const RUN_MS: u64 = 20_000;
 
-/// Limit that a server announces: 1.5 times as much and 5 more in 4 s.
+/// Limit that a server announces: at most 1.5 times as much and 5 more in 4 s.
 fn announced(limit_per_s: f64) -> Bound {
-    Bound {
-        rate_per_s: limit_per_s,
-        window_ms: 4_000,
-        most: 1.5 * 4.0 * limit_per_s + 5.0,
-    }
+    let bound = server_limit::bound(limit_per_s);
+    assert_eq!(bound.most, 1.5 * 4.0 * limit_per_s + 5.0);
+    bound
 }
 
 /// Limits of the simulated fleets.
@@ -66,6 +65,34 @@
     }
 }
 
+/// Guards against a sum over the routers that exceeds the limit, or leaves most of it unused, at any
+/// size of the fleet.
+#[test]
+fn room_sum_over_all_routers_keeps_to_the_limit_and_uses_it() {
+    for routers in [1, 7, 75, 195] {
+        for seeds in [1, 3] {
+            for limit_per_s in [0.1, 0.4, 1.6, 2.0, 3.4, 25.0, 900.0] {
+                let bound = announced(limit_per_s);
+                let mut tree = Tree::with_size(bound, routers, seeds.min(routers));
+                tree.run(RUN_MS, Traffic::Even(20.0 * routers as f64 + 1_000.0), &[]);
+                let case = format!("{routers} routers, {seeds} seeds");
+                assert_bounded(&tree, &bound, &case);
+                let busiest = tree.busiest_window() as f64;
+                assert!(busiest >= (3.0 * limit_per_s).floor(), "{case}: {busiest}");
+            }
+        }
+    }
+}
+
+/// Guards against routers that send to a limited server without a link to the others.
+#[test]
+fn room_router_without_a_link_has_none() {
+    let cut = Fault::Cut(4, 0, RUN_MS);
+    let mut tree = Tree::new(announced(25.0));
+    tree.run(RUN_MS, Traffic::One(4, 2_000.0), &[cut]);
+    assert_eq!(tree.busiest_window(), 0);
+}
+
 /// Guards against units that are granted twice while the demand moves between routers.
 #[test]
 fn room_sum_stays_bounded_while_demand_moves() {
--- a/src/decide/allowance/tests/tree.rs
+++ b/src/decide/allowance/tests/tree.rs
@@ -28,12 +28,12 @@
 }
 
 impl Traffic {
-    fn rate_per_s(self, router: usize, now_ms: u64) -> f64 {
+    fn rate_per_s(self, router: usize, routers: usize, now_ms: u64) -> f64 {
         match self {
             Self::One(only, rate) if router == only => rate,
-            Self::Even(rate) => rate / ROUTERS as f64,
+            Self::Even(rate) => rate / routers as f64,
             Self::Moving(rate, every_ms)
-                if draw(&[now_ms / every_ms]) as usize % ROUTERS == router =>
+                if draw(&[now_ms / every_ms]) as usize % routers == router =>
             {
                 rate
             }
@@ -81,6 +81,7 @@
 
 pub struct Tree {
     bound: Bound,
+    seeds: usize,
     nodes: Vec<Node>,
     arrivals_ms: Vec<u64>,
     end_ms: u64,
@@ -91,36 +92,41 @@
     xxh3_64(&bytes)
 }
 
-fn parent(router: usize) -> Option<usize> {
-    let below = router.checked_sub(SEEDS)?;
-    Some(match below < SEEDS * DEGREE {
-        true => below % SEEDS,
-        false => SEEDS + (below - SEEDS * DEGREE) % (SEEDS * DEGREE),
+fn parent(router: usize, seeds: usize) -> Option<usize> {
+    let below = router.checked_sub(seeds)?;
+    Some(match below < seeds * DEGREE {
+        true => below % seeds,
+        false => seeds + (below - seeds * DEGREE) % (seeds * DEGREE),
     })
 }
 
-fn claimant(router: usize) -> Claimant {
-    match router < SEEDS {
+fn claimant(router: usize, seeds: usize) -> Claimant {
+    match router < seeds {
         true => Claimant::Seed(SocketAddr::from(([127, 0, 0, 1], router as u16))),
         false => Claimant::Below(router as u64),
     }
 }
 
-fn new_allowances(router: usize, start_ms: u64, offset_ms: u64) -> Allowances {
-    let role = match router < SEEDS {
-        true => Role::Seed(SEEDS as u32),
-        false => Role::Below(SEEDS as u32),
+fn new_allowances(router: usize, seeds: usize, start_ms: u64, offset_ms: u64) -> Allowances {
+    let role = match router < seeds {
+        true => Role::Seed(seeds as u32),
+        false => Role::Below(seeds as u32),
     };
     let nonce = draw(&[router as u64, start_ms]);
     Allowances::new(role, nonce, start_ms + offset_ms)
 }
 
 impl Tree {
+    /// The larger fleet.
     pub fn new(bound: Bound) -> Self {
+        Self::with_size(bound, ROUTERS, SEEDS)
+    }
+
+    pub fn with_size(bound: Bound, routers: usize, seeds: usize) -> Self {
         let node = |router: usize| {
             let offset_ms = draw(&[router as u64]) % 1_000_000;
             Node {
-                allowances: new_allowances(router, 0, offset_ms),
+                allowances: new_allowances(router, seeds, 0, offset_ms),
                 offset_ms,
                 inbox: VecDeque::new(),
                 requests: 0,
@@ -128,7 +134,8 @@
         };
         Self {
             bound,
-            nodes: (0..ROUTERS).map(node).collect(),
+            seeds,
+            nodes: (0..routers).map(node).collect(),
             arrivals_ms: Vec::new(),
             end_ms: 0,
         }
@@ -137,16 +144,19 @@
     pub fn run(&mut self, end_ms: u64, traffic: Traffic, faults: &[Fault]) {
         self.end_ms = end_ms;
         for now_ms in (0..end_ms).step_by(STEP_MS as usize) {
-            for router in 0..ROUTERS {
+            for router in 0..self.nodes.len() {
                 let restarts = faults.iter().filter(|fault| {
                     matches!(fault, Fault::Restart(r, at_ms)
                         if *r == router && (now_ms..now_ms + STEP_MS).contains(at_ms))
                 });
                 if restarts.count() > 0 {
                     let offset_ms = self.nodes[router].offset_ms;
-                    self.nodes[router].allowances = new_allowances(router, now_ms, offset_ms);
+                    self.nodes[router].allowances =
+                        new_allowances(router, self.seeds, now_ms, offset_ms);
                 }
-                let expected = traffic.rate_per_s(router, now_ms) * STEP_MS as f64 / MS_PER_S;
+                let expected = traffic.rate_per_s(router, self.nodes.len(), now_ms)
+                    * STEP_MS as f64
+                    / MS_PER_S;
                 let fraction = (draw(&[now_ms, router as u64]) % 1_000) as f64 / 1_000.0;
                 self.nodes[router].requests += (expected + fraction) as u32;
                 let is_paused = faults.iter().any(|fault| {
@@ -163,6 +173,7 @@
 
     /// Requests come before messages: a woken router knows nothing newer when it handles them.
     fn step(&mut self, router: usize, now_ms: u64, faults: &[Fault]) {
+        let (seeds, routers) = (self.seeds, self.nodes.len());
         let node = &mut self.nodes[router];
         let local_ms = now_ms + node.offset_ms;
         for _ in 0..std::mem::take(&mut node.requests) {
@@ -182,7 +193,7 @@
         {
             match sent.message {
                 Message::Report(report) => {
-                    let from = claimant(sent.from);
+                    let from = claimant(sent.from, seeds);
                     node.allowances.apply_report(from, &report, local_ms);
                 }
                 Message::Grants(answer) => {
@@ -193,10 +204,10 @@
         }
         let phase_ms = draw(&[9, router as u64]) % PERIOD_MS / STEP_MS * STEP_MS;
         let is_tick = now_ms % PERIOD_MS == phase_ms;
-        let is_seed = router < SEEDS;
-        let above: Vec<usize> = match parent(router) {
+        let is_seed = router < seeds;
+        let above: Vec<usize> = match parent(router, seeds) {
             Some(parent) => vec![parent],
-            None => (0..SEEDS).filter(|seed| *seed != router).collect(),
+            None => (0..seeds).filter(|seed| *seed != router).collect(),
         };
         if is_tick {
             for other in &above {
@@ -206,10 +217,10 @@
             }
         }
         if (is_seed && is_tick) || (!is_seed && has_grants) {
-            let below = (SEEDS..ROUTERS).filter(|other| parent(*other) == Some(router));
+            let below = (seeds..routers).filter(|other| parent(*other, seeds) == Some(router));
             let others = above.into_iter().filter(|_| is_seed);
             for other in below.chain(others) {
-                let to = claimant(other);
+                let to = claimant(other, seeds);
                 if let Some(answer) = self.nodes[router].allowances.grants_for(to, local_ms) {
                     self.send(router, other, Message::Grants(answer), now_ms, faults);
                 }
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::decide::pause::Pause;
-use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room, ServerLimit};
+use crate::decide::server_limit::{Effect, LimitUpdate, ServerLimit};
 use crate::ids::{Incarnation, ServerId};
 
 /// Time between probes of an unreachable server. A connection costs little, and a server that
@@ -151,29 +151,6 @@
         Effect::Changed
     }
 
-    /// Whether a server's limit leaves room for a request of this router.
-    pub fn limit_room(
-        &mut self,
-        server: &ServerId,
-        incarnation: Incarnation,
-        place: FleetPlace,
-        now_ms: u64,
-    ) -> Room {
-        let limit = self.entries.get_mut(server);
-        let limit = limit.and_then(|entry| entry.limit.as_mut());
-        limit.map_or(Room::Free, |limit| {
-            limit.room(server, incarnation, place, now_ms)
-        })
-    }
-
-    /// Records that a request is sent to a server.
-    pub fn take_limit(&mut self, server: &ServerId) {
-        let limit = self.entries.get_mut(server);
-        if let Some(limit) = limit.and_then(|entry| entry.limit.as_mut()) {
-            limit.take();
-        }
-    }
-
     /// A server's limit in requests a second; `None` if it names none.
     pub fn limit_per_s(
         &self,
--- a/src/decide/server_limit.rs
+++ b/src/decide/server_limit.rs
@@ -1,27 +1,20 @@
-//! Limits that backend servers name on the requests of all routers together, and this router's share
-//! of them.
+//! Limits that backend servers name on the requests of all routers together.
 //!
-//! A few routers, as many as a limit feeds with whole requests, send to a limited server; the others
-//! use other servers. All routers derive the same senders from their places in the fleet, so that
-//! nothing is exchanged for a request. With a limit of `L` a second and a burst of one request at
-//! each sender, a server gets at most `5 L + 3` requests in 4 s.
+//! The limit is divided among the routers by [`allowance`](crate::decide::allowance).
 
 #[cfg(test)]
 mod tests;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
+use crate::decide::allowance::Bound;
 use crate::ids::{Incarnation, ServerId};
 
-/// Number of senders beyond the limit's whole requests a second. More senders use more of the limit
-/// where the traffic is uneven, and exceed it further when places change.
-const SENDERS_MIN: u32 = 3;
-/// Share of the limit that routers without a known place have together.
-const UNPLACED_SHARE: f64 = 0.5;
 /// Limit that is assumed for a lower one, so that the end of a limit of 0 is noticed.
 const LIMIT_MIN_PER_S: f64 = 0.1;
-/// Time for which a sender may save its share up, beyond one request.
-const BURST_MS: f64 = 250.0;
+/// Window in which a server counts the requests of all routers.
+const WINDOW_MS: u64 = 4_000;
+/// Most requests in a window, as a factor of the limit and a number beyond it.
+const OVER_FACTOR: f64 = 1.5;
+const OVER_SLACK: f64 = 5.0;
 /// Time for which a limit holds that no response has named again.
 const LIMIT_KEEP_MS: u64 = 20_000;
 /// Age from which a limit that a response names again is passed on to the other routers.
@@ -33,15 +26,6 @@
 const RAMP_MS: u64 = 1_000;
 const MS_PER_S: f64 = 1_000.0;
 
-/// This router's place among the routers that share the limits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FleetPlace {
-    /// Number of this router, from 0; `None` while it is not known.
-    pub index: Option<u32>,
-    /// Number of all routers.
-    pub routers: u32,
-}
-
 /// What a response, here or at another router, said of a server's limit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitUpdate {
@@ -54,12 +38,13 @@
     pub age_ms: u64,
 }
 
-/// Whether a server may get a request of this router now.
+/// Whether a limit leaves room for a request of this router now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
-    /// It may get one.
+    /// A request may be sent.
     Free,
-    /// This router's share is used up until the given monotonic time in ms; `None` if it has none.
+    /// This router's units are used up until the given time in ms; `None` if it has been granted none
+    /// for some seconds.
     UsedUp(Option<u64>),
 }
 
@@ -74,15 +59,7 @@
     Changed,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Share {
-    place: FleetPlace,
-    rate_per_ms: f64,
-    tokens: f64,
-    refilled_ms: u64,
-}
-
-/// The limit of one server as far as known, and this router's share.
+/// The limit of one server as far as known.
 #[derive(Debug, Clone)]
 pub struct ServerLimit {
     incarnation: Incarnation,
@@ -93,7 +70,6 @@
     shared_ms: u64,
     /// Time of the last change.
     changed_ms: u64,
-    share: Option<Share>,
 }
 
 impl ServerLimit {
@@ -105,7 +81,6 @@
             as_of_ms,
             shared_ms: as_of_ms,
             changed_ms: as_of_ms,
-            share: None,
         }
     }
 
@@ -133,7 +108,6 @@
         match is_changed {
             true => {
                 self.limit_per_s = limit_per_s;
-                self.share = None;
                 self.shared_ms = as_of_ms;
                 self.changed_ms = as_of_ms;
                 Effect::Changed
@@ -168,74 +142,19 @@
         };
         (age_ms < LIMIT_KEEP_MS).then_some(update)
     }
-
-    /// Whether the server may get a request of this router.
-    ///
-    /// ```
-    /// use jujubeusher::decide::server_limit::{FleetPlace, Room, ServerLimit};
-    /// use jujubeusher::ids::{Incarnation, ServerId};
-    /// let (server, incarnation) = (ServerId::from("a"), Incarnation(1));
-    /// let place = FleetPlace { index: Some(0), routers: 1 };
-    /// let mut limit = ServerLimit::new(incarnation, 2.0, 0);
-    /// assert_eq!(limit.room(&server, incarnation, place, 0), Room::UsedUp(Some(500)));
-    /// assert_eq!(limit.room(&server, incarnation, place, 500), Room::Free);
-    /// limit.take();
-    /// assert_eq!(limit.room(&server, incarnation, place, 600), Room::UsedUp(Some(1_000)));
-    /// ```
-    pub fn room(
-        &mut self,
-        server: &ServerId,
-        incarnation: Incarnation,
-        place: FleetPlace,
-        now_ms: u64,
-    ) -> Room {
-        let Some(limit_per_s) = self.limit_per_s(incarnation, now_ms) else {
-            return Room::Free;
-        };
-        let known = self.share.filter(|share| share.place == place);
-        // A share starts empty: the router that had the place before may just have sent a request.
-        let mut share = known.unwrap_or_else(|| Share {
-            place,
-            rate_per_ms: rate_per_ms(server, limit_per_s, place),
-            tokens: 0.0,
-            refilled_ms: now_ms,
-        });
-        let elapsed_ms = now_ms.saturating_sub(share.refilled_ms) as f64;
-        let tokens_max = (share.rate_per_ms * BURST_MS).max(1.0);
-        share.tokens = (share.tokens + elapsed_ms * share.rate_per_ms).min(tokens_max);
-        share.refilled_ms = now_ms;
-        self.share = Some(share);
-        if share.tokens >= 1.0 - f64::EPSILON {
-            return Room::Free;
-        }
-        if share.rate_per_ms <= 0.0 {
-            return Room::UsedUp(None);
-        }
-        let wait_ms = ((1.0 - share.tokens) / share.rate_per_ms).ceil();
-        Room::UsedUp(Some(now_ms.saturating_add(wait_ms as u64)))
-    }
-
-    /// Records that a request is sent to the server.
-    pub fn take(&mut self) {
-        if let Some(share) = &mut self.share {
-            share.tokens -= 1.0;
-        }
-    }
 }
 
-/// Requests per ms that a router may send to a server with this limit.
-fn rate_per_ms(server: &ServerId, limit_per_s: f64, place: FleetPlace) -> f64 {
-    let routers = place.routers.max(1);
-    let limit_per_ms = limit_per_s / MS_PER_S;
-    let Some(index) = place.index else {
-        return UNPLACED_SHARE * limit_per_ms / f64::from(routers);
-    };
-    let senders = SENDERS_MIN.saturating_add(limit_per_s as u32).min(routers);
-    let score = |index: u32| xxh3_64_with_seed(server.as_str().as_bytes(), u64::from(index));
-    let own = score(index);
-    let ahead = (0..routers).filter(|other| score(*other) > own).count();
-    match ahead < senders as usize {
-        true => limit_per_ms / f64::from(senders),
-        false => 0.0,
+/// Bound on the requests of all routers to a server with this limit.
+///
+/// ```
+/// use jujubeusher::decide::server_limit::bound;
+/// assert_eq!((bound(2.0).window_ms, bound(2.0).most), (4_000, 17.0));
+/// ```
+pub fn bound(limit_per_s: f64) -> Bound {
+    let window_s = WINDOW_MS as f64 / MS_PER_S;
+    Bound {
+        rate_per_s: limit_per_s,
+        window_ms: WINDOW_MS,
+        most: OVER_FACTOR * window_s * limit_per_s + OVER_SLACK,
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
 
+use crate::decide::allowance::HOLD_MS;
 use crate::decide::load::Report;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
@@ -161,7 +162,14 @@
     let started_ms = state.now_ms();
     let last_activity = state.reachability.last_activity(&server.id);
     let sending = with_timeout(remaining, {
-        let may_send = || state.accepts_requests(server);
+        let taken_ms = state.clock.boot_ms();
+        // The unit of the server's limit was taken just before, and may have ended while a connection
+        // was opened or the process was paused.
+        let has_unit = move || {
+            let held_ms = state.clock.boot_ms().saturating_sub(taken_ms);
+            held_ms <= HOLD_MS || state.take_limit(server)
+        };
+        let may_send = move || state.accepts_requests(server) && has_unit();
         state.pool.send_if(server.address, request, may_send)
     });
     let outcome = probe_while_silent(state, server, sending).await;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -188,12 +188,16 @@
         return Err(NoServer::TimedOut);
     }
     quarantine::check(state, routed, history).map_err(NoServer::Quarantined)?;
-    let server = placement::select_server(state, routed, history).map_err(NoServer::NotSelected)?;
+    let select = || placement::select_server(state, routed, history).map_err(NoServer::NotSelected);
+    let mut server = select()?;
     let is_retry = history.delivered + history.in_progress > 0;
     if is_retry && !state.try_acquire_retry(&routed.service) {
         return Err(NoServer::NoRetry);
     }
-    state.reachability.take_limit(&server.id);
+    // Another request may have taken the last unit of the server's limit since it was selected.
+    while !state.take_limit(&server) {
+        server = select()?;
+    }
     Ok(server)
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! The protocols of callers and backend servers, and the sources of routes and servers, are
 //! supplied by the embedding program (see [`Dependencies`]).
 
+pub mod allowances;
 pub mod attempt;
 pub mod attempts;
 pub mod caller_timeouts;
@@ -270,7 +271,7 @@
         ServerLimits::default(),
         move |request| {
             let response = match request.uri().path() {
-                "/metrics" => text_response(StatusCode::OK, shared.metrics.render()),
+                "/metrics" => text_response(StatusCode::OK, shared.render_metrics()),
                 "/dump" => json_response(StatusCode::OK, &shared.dump()),
                 _ => text_response(StatusCode::NOT_FOUND, "no such page\n"),
             };
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -103,10 +103,9 @@
 /// Removes the servers whose limits leave no room for a request of this router; returns when the
 /// first of them has room again, if any has.
 fn retain_with_room(state: &State, servers: &mut Vec<Registration>, now_ms: u64) -> Option<u64> {
-    let fleet_place = state.fleet_place();
     let mut first_ms = None;
     servers.retain(|server| {
-        let room = state.reachability.limit_room(server, fleet_place, now_ms);
+        let room = state.limit_room(server, now_ms);
         if let Room::UsedUp(until_ms) = room {
             first_ms = first_ms.into_iter().chain(until_ms).min();
         }
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -12,7 +12,7 @@
 use crate::decide::health::ServerHealth;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
-use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room};
+use crate::decide::server_limit::{Effect, LimitUpdate};
 use crate::gateway::state::State;
 use crate::http::connect_failure::ConnectFailure;
 use crate::ids::{RequestId, ServerId};
@@ -124,17 +124,6 @@
         effect
     }
 
-    /// Whether a server's limit leaves room for a request of this router.
-    pub fn limit_room(&self, server: &Registration, place: FleetPlace, now_ms: u64) -> Room {
-        let mut health = self.health.lock();
-        health.limit_room(&server.id, server.incarnation, place, now_ms)
-    }
-
-    /// Records that a request is sent to a server.
-    pub fn take_limit(&self, server: &ServerId) {
-        self.health.lock().take_limit(server);
-    }
-
     /// Those of the servers that name a limit.
     pub fn limited(&self, servers: &[Registration], now_ms: u64) -> IndexSet<ServerId> {
         let health = self.health.lock();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,8 +3,10 @@
 //! The routers at the seed addresses read the tables. Every other router subscribes to a seed or to
 //! a router below one, as [`relay_tree`](crate::decide::relay_tree) decides, and reads the tables
 //! itself while no router relays them. The same links carry the number of requests on each server:
-//! sums of subtrees towards the seeds, and totals of the fleet back.
+//! sums of subtrees towards the seeds, and totals of the fleet back. So do the demands for divided
+//! limits, and the units that are granted in return.
 
+mod allowances;
 mod copy_tables;
 mod counts;
 mod publish;
@@ -234,7 +236,7 @@
     }
     let subscriber = decode_subscriber(introduction)?;
     if first.is_seed {
-        let link = CountLink::open(relay, Scope::Group, None);
+        let link = CountLink::open(relay, Scope::Group, None, subscriber.address);
         if let Some(address) = subscriber.address {
             if address < relay.settings.listen {
                 relay.state.fleet_counts.lock().set_before(link.id);
@@ -248,7 +250,7 @@
     let redirects = match admission {
         Admission::Accept => {
             let feed = relay.state.strike_feed.open_link();
-            let link = CountLink::open(relay, Scope::Subtree, Some(&feed));
+            let link = CountLink::open(relay, Scope::Subtree, Some(&feed), None);
             relay.tree.lock().add_child(link.id, subscriber);
             let publish = publish_to_subscriber(relay, &mut writer, introduction, &feed, link.id);
             return receive_counts(&mut reader, &link).or(publish).await;
@@ -302,7 +304,7 @@
             let (mut writer, _reader) = relay.dial(seed).await?;
             writer.send(&relay.introduction(false)).await?;
             let feed = relay.state.strike_feed.open_link();
-            report_counts(&relay, &mut writer, &feed).await
+            report_counts(&relay, &mut writer, &feed, Some(seed)).await
         };
         let ended: std::result::Result<(), LinkError> = link.await;
         if let Err(error) = ended {
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -1,10 +1,13 @@
 //! Exchange of the routers' request counts on each server, over the links of the relay.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 
+use crate::decide::allowance::Claimant;
 use crate::decide::fleet_counts::{Counts, Scope, next_changes};
+use crate::gateway::relay::allowances;
 use crate::gateway::relay::strikes::{apply_strikes, send_changes, send_snapshot};
 use crate::gateway::relay::wire::{Count, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
@@ -27,16 +30,29 @@
     pub(super) id: u64,
     /// Number of the queue from which strikes are sent over the same link.
     feed: Option<u64>,
+    /// Who reports demands over the link; `None` for the router above.
+    claimant: Option<Claimant>,
 }
 
 impl<'a> CountLink<'a> {
-    /// Opens a link. Strikes that arrive over it are not sent back through `feed`.
-    pub(super) fn open(relay: &'a Relay, scope: Scope, feed: Option<&FeedLink>) -> Self {
+    /// Opens a link. Strikes that arrive over it are not sent back through `feed`. `seed` is the
+    /// address of another seed at its other end.
+    pub(super) fn open(
+        relay: &'a Relay,
+        scope: Scope,
+        feed: Option<&FeedLink>,
+        seed: Option<SocketAddr>,
+    ) -> Self {
         let id = relay.state.fleet_counts.lock().open_link(scope);
         Self {
             relay,
             id,
             feed: feed.map(|feed| feed.id),
+            claimant: match scope {
+                Scope::Subtree => Some(Claimant::Below(id)),
+                Scope::Group => seed.map(Claimant::Seed),
+                Scope::Fleet => None,
+            },
         }
     }
 
@@ -50,6 +66,7 @@
             state.fleet_counts.lock().set_index(self.id, index);
         }
         apply_strikes(state, message, self.feed);
+        allowances::apply(&state.allowances, message, self.claimant);
         let counts = message
             .counts
             .iter()
@@ -63,6 +80,9 @@
     fn drop(&mut self) {
         self.relay.tree.lock().remove_link(self.id);
         self.relay.state.fleet_counts.lock().close_link(self.id);
+        if let Some(claimant) = self.claimant {
+            self.relay.state.allowances.close(claimant);
+        }
         self.relay.state.apply_counts();
     }
 }
@@ -89,18 +109,24 @@
     }
 }
 
-/// Reports strikes at once, and the counts of this router and of those below it, until the link
-/// ends.
+/// Reports strikes at once, and the counts and demands of this router and of those below it, until
+/// the link ends. Another seed, at the address `seed`, also gets its grants.
 pub(super) async fn report_counts(
     relay: &Relay,
     writer: &mut FrameWriter,
     feed: &FeedLink,
+    seed: Option<SocketAddr>,
 ) -> Result<(), LinkError> {
-    send_snapshot(&relay.state, writer).await?;
+    let state = &relay.state;
+    send_snapshot(state, writer).await?;
     let mut sent_counts = Counts::new();
     loop {
-        let totals = relay.state.fleet_totals();
-        let message = counts_message(&mut sent_counts, &totals.subtree, totals.subtree_routers);
+        let totals = state.fleet_totals();
+        let mut message = counts_message(&mut sent_counts, &totals.subtree, totals.subtree_routers);
+        if let Some(seed) = seed {
+            allowances::add_grants(&state.allowances, &mut message, Claimant::Seed(seed));
+        }
+        allowances::add_report(&state.allowances, &mut message);
         let sent = with_timeout(SILENCE_TIMEOUT, writer.send(&message)).await;
         sent.ok_or(LinkError::TimedOut)??;
         let mut tick = smol::Timer::after(COUNTS_PERIOD);
@@ -114,7 +140,7 @@
                 break;
             };
             let changes = changes.map_err(|_| LinkError::Closed)?;
-            send_changes(&relay.state, writer, &changes).await?;
+            send_changes(state, writer, &changes).await?;
         }
     }
 }
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -9,9 +9,11 @@
 use futures_util::future::select_all;
 use prost::Message as _;
 
+use crate::decide::allowance::Claimant;
 use crate::decide::fleet_counts::Counts;
 use crate::decide::table_position::{Era, Position};
 use crate::gateway::mirror::Update;
+use crate::gateway::relay::allowances;
 use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
 use crate::gateway::relay::strikes::{send_changes, send_snapshot};
 use crate::gateway::relay::wire::{self, Introduction, Message};
@@ -101,10 +103,12 @@
                     send_path(relay, writer, &mut sent_path).await?;
                     let totals = relay.state.fleet_totals();
                     let index = relay.state.fleet_counts.lock().index_below(link);
-                    let message = Message {
+                    let mut message = Message {
                         index,
                         ..counts_message(&mut sent_counts, &totals.all, totals.routers)
                     };
+                    let below = Claimant::Below(link);
+                    allowances::add_grants(&relay.state.allowances, &mut message, below);
                     send_in_time(writer, &message).await?;
                     Ok::<_, LinkError>(true)
                 }
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -110,9 +110,9 @@
     // A router of an older version states no path.
     relay.tree.lock().set_parents(vec![address]);
     let feed = relay.state.strike_feed.open_link();
-    let link = CountLink::open(relay, Scope::Fleet, Some(&feed));
+    let link = CountLink::open(relay, Scope::Fleet, Some(&feed), None);
     let report = async {
-        report_counts(relay, &mut writer, &feed)
+        report_counts(relay, &mut writer, &feed, None)
             .await
             .map(|()| Ended::SourceLost)
     };
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -66,6 +66,49 @@
     /// Limits that servers have named, changed or lifted.
     #[prost(message, repeated, tag = "18")]
     pub server_limits: Vec<ServerLimit>,
+    /// Number of this report of demands, which no other report has; absent without demands.
+    #[prost(fixed64, optional, tag = "19")]
+    pub report: Option<u64>,
+    /// Demands of the sender's subtree for limits that are divided among the routers.
+    #[prost(message, repeated, tag = "20")]
+    pub demands: Vec<Demand>,
+    /// Number of the receiver's report that the grants answer.
+    #[prost(fixed64, optional, tag = "21")]
+    pub answered_report: Option<u64>,
+    /// Units of divided limits for the receiver's subtree.
+    #[prost(message, repeated, tag = "22")]
+    pub grants: Vec<Grant>,
+}
+
+/// Demand for one divided limit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Demand {
+    /// Hash that names the limit.
+    #[prost(fixed64, tag = "1")]
+    pub limit: u64,
+    /// Requests in 1,000 s that ask for room.
+    #[prost(uint64, tag = "2")]
+    pub milli_per_s: u64,
+    /// Shortest time between two units of one seed.
+    #[prost(uint64, tag = "3")]
+    pub period_us: u64,
+    /// Time for which a unit is valid.
+    #[prost(uint64, tag = "4")]
+    pub valid_ms: u64,
+}
+
+/// Units of one divided limit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Grant {
+    /// Hash that names the limit.
+    #[prost(fixed64, tag = "1")]
+    pub limit: u64,
+    /// Number of units.
+    #[prost(uint32, tag = "2")]
+    pub units: u32,
+    /// Time from the sender's receipt of the answered report to the end of the units.
+    #[prost(uint64, tag = "3")]
+    pub valid_ms: u64,
 }
 
 /// Limit of a server on the requests of all routers.
--- a/src/gateway/relay/wire/tests.rs
+++ b/src/gateway/relay/wire/tests.rs
@@ -12,7 +12,7 @@
 }
 
 /// Guards against a link that fails while the routers of a fleet are replaced one by one: a message
-/// with strikes must look like one without counts to a router of the build before.
+/// with strikes, demands or grants must look like one without counts to a router of the build before.
 #[test]
 fn message_with_strikes_is_a_keep_alive_to_older_routers() {
     let strike = Strike {
@@ -27,6 +27,10 @@
         strikes: vec![strike],
         quarantines: vec![Quarantine::default()],
         sound_parts: vec![SoundPart::default()],
+        report: Some(3),
+        demands: vec![Demand::default()],
+        answered_report: Some(4),
+        grants: vec![Grant::default()],
         ..Message::default()
     };
     let older = OlderMessage::decode(message.encode_to_vec().as_slice()).unwrap();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use crate::decide::strikes::Fingerprint;
 use crate::edge::clock::Clock;
 use crate::error::Result;
+use crate::gateway::allowances::Allowances;
 use crate::gateway::caller_timeouts::CallerTimeouts;
 use crate::gateway::crash::CrashProbes;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
@@ -103,6 +104,8 @@
     pub strikes: Strikes,
     /// Recent probes of servers whose connection broke.
     pub crash_probes: CrashProbes,
+    /// Units of the limits that are divided among all routers.
+    pub allowances: Allowances,
     /// Passes changes of the strikes on to other routers.
     pub strike_feed: StrikeFeed,
     /// Protocol of the callers.
@@ -159,6 +162,7 @@
         let strikes = Strikes::lifting_on_completion(&settings.name);
         Ok(Self {
             metrics: GatewayMetrics::open()?,
+            allowances: Allowances::new(settings.relay.as_ref(), Arc::clone(&clock)),
             response_memory: MemoryBudget::new(settings.memory_bytes / RESPONSE_MEMORY_DIVISOR),
             settings: RwLock::new(Arc::new(settings)),
             runtime,
@@ -399,6 +403,7 @@
         let now_ms = self.now_ms();
         let settings = self.settings();
         let routing = self.routing();
+        let units = self.allowances.counts();
         let registry = self.registry.lock();
         let servers: Vec<Value> = registry
             .all()
@@ -433,7 +438,12 @@
             "requests_struck": self.strikes.len(),
             "requests_quarantined": self.strikes.quarantines(now_ms).len(),
             "routers": self.router_count(),
-            "router_index": self.fleet_place().index,
+            "router_index": self.fleet_counts.lock().index(),
+            "allowance_units": {
+                "granted": units.granted,
+                "used": units.used,
+                "expired": units.expired,
+            },
             "config_version": routing.as_ref().map(|routing| routing.version),
             "servers": servers,
         })
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -1,22 +1,17 @@
 //! What the gateway's state knows of backend servers from their registrations.
 
 use std::cmp::Reverse;
-use std::sync::atomic::Ordering;
 
 use indexmap::IndexSet;
 
 use crate::decide::registry::Registration;
-use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate};
+use crate::decide::server_limit::{Effect, LimitUpdate};
 use crate::decide::strikes::Incarnation;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::state::State;
 use crate::gateway::strike_feed::StrikeChanges;
 use crate::ids::{RequestId, ServerId, ServiceId};
 
-/// Time after its start by which the other routers have linked to a seed: they retry every 100 ms
-/// at first, then every 1.5 s.
-const ROUTERS_LINKED_MS: u64 = 5_000;
-
 impl State {
     /// Servers of a service that accept requests.
     pub fn available_servers(&self, service: &ServiceId) -> Vec<Registration> {
@@ -82,23 +77,6 @@
             .collect()
     }
 
-    /// This router's place among those that share the limits of servers.
-    pub fn fleet_place(&self) -> FleetPlace {
-        let (index, linked) = {
-            let fleet = self.fleet_counts.lock();
-            (fleet.index(), fleet.router_count())
-        };
-        // A seed without links may be the only router once others had the time to connect.
-        let is_alone = self.routers_known().load(Ordering::Relaxed) == 0
-            && index.is_some()
-            && self.now_ms() >= ROUTERS_LINKED_MS;
-        let routers = match is_alone {
-            true => linked,
-            false => self.router_count() as u32,
-        };
-        FleetPlace { index, routers }
-    }
-
     /// Whether a server still accepts requests, as the same incarnation at the same address.
     pub fn accepts_requests(&self, server: &Registration) -> bool {
         let now_ms = self.now_ms();
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use crate::decide::allowance::UnitCounts;
 use crate::decide::strikes::StrikeStatus;
 use crate::decide::table_position::Era;
 use crate::error::Result;
@@ -22,6 +23,7 @@
     attempts: Counter<u64>,
     notices: Counter<u64>,
     strikes: Counter<u64>,
+    allowance_units: Counter<u64>,
     streams: Counter<u64>,
     events: Counter<u64>,
     first_answer_ms: Histogram<f64>,
@@ -51,6 +53,12 @@
                 .u64_counter("gateway.strikes")
                 .with_description("Crashes of servers under a request, by its status afterwards")
                 .build(),
+            allowance_units: meter
+                .u64_counter("gateway.allowance_units")
+                .with_description(
+                    "Units of divided limits for this router's requests, by what became of them",
+                )
+                .build(),
             streams: meter
                 .u64_counter("gateway.streams")
                 .with_description("Ended streams by outcome")
@@ -112,6 +120,20 @@
             .add(1, &[KeyValue::new("standing", status.name())]);
     }
 
+    /// Counts units of divided limits, of which `granted` have come and the others were granted
+    /// before.
+    pub fn count_allowance_units(&self, units: UnitCounts) {
+        let kinds = [
+            ("granted", units.granted),
+            ("used", units.used),
+            ("expired", units.expired),
+        ];
+        for (kind, count) in kinds {
+            self.allowance_units
+                .add(count, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
     /// Counts a stream that has ended, and the events sent to its caller.
     pub fn count_stream(&self, outcome: &'static str, events: u64) {
         self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
