--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -1,5 +1,5 @@
-//! Cold servers: until when a server counts as cold after its start, and this router's share of the
-//! few requests that it tolerates meanwhile.
+//! Cold servers: until when a server counts as cold after its start, and the bound on the few requests
+//! that it tolerates meanwhile.
 //!
 //! A cold server crashes under a rate that a warm one takes easily. What a router knows of a server is
 //! always slightly late, so a server counts as cold after each event in which it may have started,
@@ -10,8 +10,8 @@
 
 use indexmap::IndexMap;
 
-use crate::decide::server_limit::{FleetPlace, Room, ServerLimit};
-use crate::ids::{Incarnation, ServerId};
+use crate::decide::allowance::Bound;
+use crate::ids::ServerId;
 
 /// Longest time for which a row may be on its way: up to 1.2 s pass between a server's write and a
 /// router below a seed, and the store may take as long again. A row that arrives later was written
@@ -24,15 +24,8 @@
 /// Time for which rows of a server that has become warm are relayed: at least one heartbeat, every
 /// 1.2 s, as a router that saw the event later does not yet rely on the first one.
 const WARM_RELAY_MS: u64 = 2_000;
-/// Time after a change of a router's place in which it sends nothing to cold servers. A router that
-/// has lost its links notices it within 1.6 s of silence; the one that had the place before it learns
-/// of the change within a few messages, one every 200 ms.
-const PLACE_SETTLE_MS: u64 = 2_500;
-/// Routers beyond the limit's whole requests a second that each may send one in the same second.
-const SENDERS_MIN: f64 = 3.0;
-/// Requests in a second relative to the limit where few routers have large shares, each with a burst
-/// of a quarter of a second.
-const BURST_FACTOR: f64 = 1.25;
+/// Window in which the requests to a cold server are bounded.
+const WINDOW_MS: u64 = 1_000;
 
 /// Bound on the requests that reach a cold server in any one second, summed over all routers: the
 /// rate that it tolerates times `over`, plus `slack`.
@@ -47,27 +40,26 @@
 pub struct ColdPolicy {
     /// Time for which a server is cold after its start.
     pub cold_ms: u64,
-    /// Requests a second of all routers together.
-    pub limit_per_s: f64,
+    /// Bound on the requests of all routers together to one cold server.
+    pub bound: Bound,
 }
 
 impl ColdPolicy {
-    /// Policy of a service whose cold servers tolerate `per_s` requests a second. The rate is lowered
-    /// as far as needed so that the requests of one second stay within the bounds.
+    /// Policy of a service whose cold servers tolerate `per_s` requests a second.
     ///
     /// ```
     /// use jujubeusher::decide::cold_start::{ColdBounds, ColdPolicy};
     /// let bounds = ColdBounds { over: 1.5, slack: 5.0 };
-    /// assert_eq!(ColdPolicy::new(8_000, 11.0, bounds).limit_per_s, 11.0);
-    /// let narrow = ColdBounds { over: 1.0, slack: 0.0 };
-    /// assert_eq!(ColdPolicy::new(8_000, 10.0, narrow).limit_per_s, 7.0);
+    /// assert_eq!(ColdPolicy::new(8_000, 11.0, bounds).bound.most, 21.5);
     /// ```
     pub fn new(cold_ms: u64, per_s: f64, bounds: ColdBounds) -> Self {
-        let bound = per_s * bounds.over + bounds.slack;
-        let limit_per_s = per_s.min(bound - SENDERS_MIN).min(bound / BURST_FACTOR);
         Self {
             cold_ms: cold_ms.min(COLD_MAX_MS),
-            limit_per_s: limit_per_s.max(0.0),
+            bound: Bound {
+                rate_per_s: per_s,
+                window_ms: WINDOW_MS,
+                most: per_s * bounds.over + bounds.slack,
+            },
         }
     }
 }
@@ -285,85 +277,3 @@
         self.entries.shift_remove(server);
     }
 }
-
-/// This router's place in the fleet and since when it has had it.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct SettledPlace {
-    known: Option<(FleetPlace, u64)>,
-}
-
-impl SettledPlace {
-    /// Records the place; returns when it is settled.
-    ///
-    /// ```
-    /// use jujubeusher::decide::cold_start::SettledPlace;
-    /// use jujubeusher::decide::server_limit::FleetPlace;
-    /// let mut settled = SettledPlace::default();
-    /// let place = FleetPlace { index: Some(3), routers: 86 };
-    /// assert_eq!(settled.observe(place, 100), 2_600);
-    /// assert_eq!(settled.observe(place, 200), 2_600);
-    /// assert_eq!(settled.observe(FleetPlace { routers: 87, ..place }, 300), 2_800);
-    /// ```
-    pub fn observe(&mut self, place: FleetPlace, now_ms: u64) -> u64 {
-        let since_ms = match self.known {
-            Some((known, since_ms)) if known == place => since_ms,
-            _ => now_ms,
-        };
-        self.known = Some((place, since_ms));
-        since_ms + PLACE_SETTLE_MS
-    }
-}
-
-/// What bounds a router's requests to a cold server.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ColdLimit {
-    /// Requests a second of all routers together.
-    pub per_s: f64,
-    pub place: FleetPlace,
-    /// Time from which this router may rely on its place.
-    pub settled_ms: u64,
-}
-
-/// This router's share of the requests to one cold server.
-#[derive(Debug, Clone)]
-pub struct ColdShare {
-    limit: ServerLimit,
-    /// Whether room was found that was not taken yet.
-    has_room: bool,
-}
-
-impl ColdShare {
-    /// An empty share.
-    pub fn new(incarnation: Incarnation, limit: ColdLimit, now_ms: u64) -> Self {
-        Self {
-            limit: ServerLimit::new(incarnation, limit.per_s, now_ms),
-            has_room: false,
-        }
-    }
-
-    /// Whether the server may get a request of this router. A router without a place sends none.
-    pub fn room(
-        &mut self,
-        server: &ServerId,
-        incarnation: Incarnation,
-        limit: ColdLimit,
-        now_ms: u64,
-    ) -> Room {
-        self.limit.apply(incarnation, Some(limit.per_s), now_ms);
-        let room = match limit.place.index {
-            None => Room::UsedUp(None),
-            Some(_) if limit.per_s <= 0.0 => Room::UsedUp(None),
-            Some(_) if now_ms < limit.settled_ms => Room::UsedUp(Some(limit.settled_ms)),
-            Some(_) => self.limit.room(server, incarnation, limit.place, now_ms),
-        };
-        self.has_room = room == Room::Free;
-        room
-    }
-
-    /// Records that a request is sent to the server.
-    pub fn take(&mut self) {
-        if std::mem::take(&mut self.has_room) {
-            self.limit.take();
-        }
-    }
-}
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -6,9 +6,8 @@
 
 use indexmap::IndexMap;
 
-use crate::decide::cold_start::{ColdLimit, ColdShare};
 use crate::decide::pause::Pause;
-use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room, ServerLimit};
+use crate::decide::server_limit::{Effect, LimitUpdate, ServerLimit};
 use crate::ids::{Incarnation, ServerId};
 
 /// Time between probes of an unreachable server. A connection costs little, and a server that
@@ -45,7 +44,6 @@
     penalties: u32,
     pause: Option<Pause>,
     limit: Option<ServerLimit>,
-    cold_share: Option<ColdShare>,
 }
 
 /// Observed health of all servers; a server without observations counts as healthy.
@@ -159,56 +157,6 @@
         Effect::Changed
     }
 
-    /// Whether a server's limit leaves room for a request of this router.
-    pub fn limit_room(
-        &mut self,
-        server: &ServerId,
-        incarnation: Incarnation,
-        place: FleetPlace,
-        now_ms: u64,
-    ) -> Room {
-        let limit = self.entries.get_mut(server);
-        let limit = limit.and_then(|entry| entry.limit.as_mut());
-        limit.map_or(Room::Free, |limit| {
-            limit.room(server, incarnation, place, now_ms)
-        })
-    }
-
-    /// Whether a cold server has room for a request of this router.
-    pub fn cold_room(
-        &mut self,
-        server: &ServerId,
-        incarnation: Incarnation,
-        limit: ColdLimit,
-        now_ms: u64,
-    ) -> Room {
-        let entry = self.entries.entry(server.clone()).or_default();
-        let share = entry
-            .cold_share
-            .get_or_insert_with(|| ColdShare::new(incarnation, limit, now_ms));
-        share.room(server, incarnation, limit, now_ms)
-    }
-
-    /// Forgets a server's cold share when it has become warm.
-    pub fn end_cold(&mut self, server: &ServerId) {
-        if let Some(entry) = self.entries.get_mut(server) {
-            entry.cold_share = None;
-        }
-    }
-
-    /// Records that a request is sent to a server.
-    pub fn take_limit(&mut self, server: &ServerId) {
-        let Some(entry) = self.entries.get_mut(server) else {
-            return;
-        };
-        if let Some(limit) = entry.limit.as_mut() {
-            limit.take();
-        }
-        if let Some(share) = entry.cold_share.as_mut() {
-            share.take();
-        }
-    }
-
     /// A server's limit in requests a second; `None` if it names none.
     pub fn limit_per_s(
         &self,
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -9,11 +9,11 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
-use crate::decide::cold_start::{ColdCause, ColdLimit, ColdStarts};
+use crate::decide::cold_start::{ColdCause, ColdStarts};
 use crate::decide::health::ServerHealth;
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
-use crate::decide::server_limit::{Effect, FleetPlace, LimitUpdate, Room};
+use crate::decide::server_limit::{Effect, LimitUpdate};
 use crate::gateway::state::State;
 use crate::http::connect_failure::ConnectFailure;
 use crate::ids::{RequestId, ServerId};
@@ -129,28 +129,6 @@
         effect
     }
 
-    /// Whether a server's limit leaves room for a request of this router.
-    pub fn limit_room(&self, server: &Registration, place: FleetPlace, now_ms: u64) -> Room {
-        let mut health = self.health.lock();
-        health.limit_room(&server.id, server.incarnation, place, now_ms)
-    }
-
-    /// Whether a cold server has room for a request of this router; [`Self::take_limit`] takes it.
-    pub fn cold_room(&self, server: &Registration, limit: ColdLimit, now_ms: u64) -> Room {
-        let mut health = self.health.lock();
-        health.cold_room(&server.id, server.incarnation, limit, now_ms)
-    }
-
-    /// Forgets a server's cold share when it has become warm.
-    pub fn end_cold(&self, server: &ServerId) {
-        self.health.lock().end_cold(server);
-    }
-
-    /// Records that a request is sent to a server.
-    pub fn take_limit(&self, server: &ServerId) {
-        self.health.lock().take_limit(server);
-    }
-
     /// Those of the servers that name a limit.
     pub fn limited(&self, servers: &[Registration], now_ms: u64) -> IndexSet<ServerId> {
         let health = self.health.lock();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use crate::config::routing::RoutingTable;
 use crate::control::load::LoadTable;
 use crate::control::strikes::Strikes;
-use crate::decide::cold_start::{ColdBounds, SettledPlace};
+use crate::decide::cold_start::ColdBounds;
 use crate::decide::evacuation::Evacuations;
 use crate::decide::fleet_counts::{Counts, FleetCounts};
 use crate::decide::memory_budget::Purpose;
@@ -26,6 +26,7 @@
 use crate::decide::strikes::Fingerprint;
 use crate::edge::clock::Clock;
 use crate::error::Result;
+use crate::gateway::allowances::Allowances;
 use crate::gateway::caller_timeouts::CallerTimeouts;
 use crate::gateway::crash::CrashProbes;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
@@ -115,6 +116,8 @@
     pub strikes: Strikes,
     /// Recent probes of servers whose connection broke.
     pub crash_probes: CrashProbes,
+    /// Units of the limits that are divided among all routers.
+    pub allowances: Allowances,
     /// Passes changes of the strikes on to other routers.
     pub strike_feed: StrikeFeed,
     /// Protocol of the callers.
@@ -124,7 +127,6 @@
     pub(super) routing: RwLock<Option<Arc<RoutingTable>>>,
     pub(super) registry: Mutex<Registry>,
     evacuations: RwLock<Evacuations>,
-    settled_place: Mutex<SettledPlace>,
     retry_windows: Mutex<IndexMap<ServiceId, RetryWindow>>,
     overloads: Mutex<IndexMap<ServiceId, Overload>>,
     run_ms: Mutex<IndexMap<ServiceId, f64>>,
@@ -175,6 +177,7 @@
             metrics: GatewayMetrics::open()?,
             memory: Memory::new(settings.memory_bytes, Arc::clone(&clock)),
             server_bytes: ServerBytes::default(),
+            allowances: Allowances::new(settings.relay.as_ref(), Arc::clone(&clock)),
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
@@ -191,7 +194,6 @@
             routing: RwLock::default(),
             registry: Mutex::default(),
             evacuations: RwLock::default(),
-            settled_place: Mutex::default(),
             retry_windows: Mutex::default(),
             overloads: Mutex::default(),
             run_ms: Mutex::default(),
--- a/src/gateway/state/dump.rs
+++ b/src/gateway/state/dump.rs
@@ -11,6 +11,7 @@
         let now_ms = self.now_ms();
         let settings = self.settings();
         let routing = self.routing();
+        let units = self.allowances.counts();
         let availabilities = self.all_availabilities();
         let registry = self.registry.lock();
         let servers: Vec<Value> = registry
@@ -59,7 +60,12 @@
             "requests_struck": self.strikes.len(),
             "requests_quarantined": self.strikes.quarantines(now_ms).len(),
             "routers": self.router_count(),
-            "router_index": self.fleet_place().index,
+            "router_index": self.fleet_counts.lock().index(),
+            "allowance_units": {
+                "granted": units.granted,
+                "used": units.used,
+                "expired": units.expired,
+            },
             "config_version": routing.as_ref().map(|routing| routing.version),
             "servers": servers,
         })
--- a/src/gateway/state/held_back.rs
+++ b/src/gateway/state/held_back.rs
@@ -3,20 +3,20 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::decide::capacity::{Availability, HoldReason, Knowledge};
-use crate::decide::cold_start::{Cold, ColdCause, ColdLimit, ColdPolicy};
+use crate::decide::cold_start::{Cold, ColdCause, ColdPolicy};
 use crate::decide::evacuation::ZoneChange;
 use crate::decide::registry::{Change, Registration};
-use crate::decide::server_limit::{FleetPlace, Room};
+use crate::decide::server_limit::Room;
 use crate::gateway::state::State;
 use crate::ids::{ServerId, ServiceId, ZoneId};
 
-/// What the availability of all servers depends on, gathered once for a request.
-#[derive(Debug, Clone, Copy)]
-struct Conditions {
-    place: FleetPlace,
-    /// Time from which this router may rely on its place.
-    settled_ms: u64,
-    now_ms: u64,
+/// Why the availability of servers is looked up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lookup {
+    /// For a request, which adds to this router's demand for units of divided limits.
+    Request,
+    /// For operators. It changes nothing.
+    Report,
 }
 
 impl State {
@@ -143,7 +143,6 @@
     /// Logs the servers that have become cold or warm.
     pub fn review_cold_servers(&self) {
         let now_ms = self.now_ms();
-        self.settled_ms(self.fleet_place(), now_ms);
         let servers = self.reachability.cold_starts.lock().servers();
         if servers.is_empty() {
             return;
@@ -167,60 +166,41 @@
                     cold.cause.as_str(),
                     cold.until_ms.saturating_sub(now_ms),
                 ),
-                None => {
-                    self.reachability.end_cold(&server);
-                    log::info!("event=server_warm server={server}");
-                }
+                None => log::info!("event=server_warm server={server}"),
             }
         }
     }
 
-    /// Time from which this router may rely on its place.
-    fn settled_ms(&self, place: FleetPlace, now_ms: u64) -> u64 {
-        self.settled_place.lock().observe(place, now_ms)
-    }
-
-    fn conditions(&self) -> Conditions {
-        let now_ms = self.now_ms();
-        let place = self.fleet_place();
-        Conditions {
-            place,
-            settled_ms: self.settled_ms(place, now_ms),
-            now_ms,
-        }
-    }
-
     /// What is known of a server; `policy` is that of its service.
     fn knowledge(
         &self,
         server: &Registration,
         policy: Option<ColdPolicy>,
-        conditions: Conditions,
+        lookup: Lookup,
+        now_ms: u64,
     ) -> Knowledge {
-        let Conditions {
-            place,
-            settled_ms,
-            now_ms,
-        } = conditions;
         let cold = policy.and_then(|policy| {
             let cold_starts = self.reachability.cold_starts.lock();
             cold_starts.cold(&server.id, policy.cold_ms, now_ms)
         });
-        let cold_limit = policy.filter(|_| cold.is_some()).map(|policy| ColdLimit {
-            per_s: policy.limit_per_s,
-            place,
-            settled_ms,
-        });
-        let reachability = &self.reachability;
+        let cold_bound = policy.filter(|_| cold.is_some()).map(|policy| policy.bound);
+        let (cold_room, limit_room) = match lookup {
+            Lookup::Request => (
+                cold_bound.map(|bound| self.cold_room(server, &bound, now_ms)),
+                self.limit_room(server, now_ms),
+            ),
+            Lookup::Report => (
+                cold_bound.map(|_| self.peek_cold_room(server)),
+                self.peek_limit_room(server, now_ms),
+            ),
+        };
         Knowledge {
             evacuated_since_ms: self.evacuated_since_ms(&server.zone),
-            unreachable_since_ms: reachability.unreachable_since_ms(&server.id),
-            pause_end_ms: reachability.pause_end_ms(server, now_ms),
+            unreachable_since_ms: self.reachability.unreachable_since_ms(&server.id),
+            pause_end_ms: self.reachability.pause_end_ms(server, now_ms),
             cold,
-            cold_room: cold_limit.map_or(Room::Free, |limit| {
-                reachability.cold_room(server, limit, now_ms)
-            }),
-            limit_room: reachability.limit_room(server, place, now_ms),
+            cold_room: cold_room.unwrap_or(Room::Free),
+            limit_room,
         }
     }
 
@@ -231,9 +211,9 @@
         servers: Vec<Registration>,
     ) -> Vec<(Registration, Availability)> {
         let policy = self.cold_policy(service);
-        let conditions = self.conditions();
+        let now_ms = self.now_ms();
         let availability = |server: &Registration| {
-            let knowledge = self.knowledge(server, policy, conditions);
+            let knowledge = self.knowledge(server, policy, Lookup::Request, now_ms);
             knowledge.availability()
         };
         let pairs = servers.into_iter().map(|server| {
@@ -258,18 +238,17 @@
 
     /// The servers that are held back, or cold, of those that accept requests.
     pub(super) fn all_availabilities(&self) -> IndexMap<ServerId, Availability> {
+        let now_ms = self.now_ms();
         let servers: Vec<Registration> = {
-            let now_ms = self.now_ms();
             let registry = self.registry.lock();
             let usable = registry
                 .all()
                 .filter(|s| registry.get(&s.id, now_ms).is_some());
             usable.cloned().collect()
         };
-        let conditions = self.conditions();
         let availabilities = servers.into_iter().map(|server| {
             let policy = self.cold_policy(&server.service);
-            let knowledge = self.knowledge(&server, policy, conditions);
+            let knowledge = self.knowledge(&server, policy, Lookup::Report, now_ms);
             (server.id.clone(), knowledge.availability())
         });
         availabilities.collect()
