--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod fleet_counts;
 pub mod health;
 pub mod hint;
+pub mod learned_capacity;
 pub mod lease;
 pub mod load;
 pub mod membership;
