--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! Nothing here opens a socket, reads a clock or starts a task, so a recorded trace of
 //! inputs replays to the same outputs.
 
+pub mod admission_level;
 pub mod admit;
 pub mod choose;
 pub mod claim;
