--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -36,3 +36,4 @@
 pub mod table_position;
 pub mod trace;
 pub mod version;
+pub mod wait_queue;
