--- a/src/decide/learned_capacity.rs
+++ b/src/decide/learned_capacity.rs
@@ -39,6 +39,11 @@
 /// and a part of the rate itself.
 const GROWTH_PER_S: f64 = 1.0;
 const GROWTH_SHARE: f64 = 0.4;
+/// Growth near the rate at which a request was declined last, as a part of the usual one: servers that
+/// decline before their run times rise are then full seldom. Well above that rate it is forgotten.
+const NEAR_GROWTH: f64 = 0.25;
+const NEAR_DECLINED: f64 = 0.9;
+const FORGET_DECLINED: f64 = 1.2;
 /// Lowest rate. With it, 86 routers use less than a third of the smallest known service.
 const RATE_MIN_PER_S: f64 = 2.0;
 /// A rate this far above what is sent holds nothing back and is given up.
@@ -46,7 +51,7 @@
 const UNUSED_PER_S: f64 = 2.0;
 /// Requests that may be sent at once after a pause.
 const BURST_MIN: f64 = 3.0;
-const BURST_S: f64 = 0.2;
+const BURST_S: f64 = 0.05;
 const MS_PER_S: f64 = 1_000.0;
 
 /// Whether a request may be sent now.
@@ -76,6 +81,8 @@
     declines: u32,
     first_decline_ms: u64,
     reduced_ms: u64,
+    /// Rate at which a request was declined last.
+    declined_per_s: Option<f64>,
 }
 
 /// Lowest mean run time of the current period and of the one before it.
@@ -176,6 +183,8 @@
         let is_due = now_ms >= self.reduced_ms + DECLINE_PAUSE_MS;
         let is_full = self.declines >= DECLINES_MIN || self.rate_per_s.is_some();
         if is_full && (is_due || self.rate_per_s.is_none()) {
+            let rate_per_s = self.rate_per_s;
+            self.declined_per_s = Some(rate_per_s.unwrap_or_else(|| self.sent_per_s(now_ms)));
             self.reduce(DECLINED_FACTOR, now_ms);
         }
     }
@@ -212,7 +221,15 @@
         };
         let sent_per_s = self.sent_per_s(now_ms);
         let growth = GROWTH_PER_S + GROWTH_SHARE * rate_per_s;
+        let near_declined = self.declined_per_s.map(|rate| rate * NEAR_DECLINED);
+        let growth = match near_declined.is_some_and(|near| rate_per_s > near) {
+            true => growth * NEAR_GROWTH,
+            false => growth,
+        };
         let grown = rate_per_s + growth / sent_per_s.max(1.0);
+        self.declined_per_s = self
+            .declined_per_s
+            .filter(|rate| grown < FORGET_DECLINED * rate);
         let is_unused = grown > UNUSED_FACTOR * sent_per_s + UNUSED_PER_S;
         self.rate_per_s = (!is_unused).then_some(grown);
     }
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -27,7 +27,7 @@
 /// Teams that are remembered, beyond which those with almost no work lately are forgotten.
 const TEAMS_MAX: usize = 256;
 const SERVED_MIN: f64 = 0.01;
-/// One in so many offers goes to a less urgent request than the first, so that none is starved.
+/// One in so many placements is that of a less urgent request than the first, so that none is starved.
 const LESS_URGENT_INTERVAL: u32 = 8;
 /// Shortest pause for a refused caller.
 const RETRY_MIN_MS: u64 = 250;
@@ -112,7 +112,9 @@
     interval_ms: Option<f64>,
     /// Time of the last placement, or from which requests wait.
     drained_ms: u64,
-    offers: u32,
+    /// Placements since the last one of a less urgent request than the first.
+    turns: u32,
+    is_turn_offered: bool,
 }
 
 impl WaitQueue {
@@ -126,7 +128,8 @@
             served: IndexMap::new(),
             interval_ms: None,
             drained_ms: 0,
-            offers: 0,
+            turns: 0,
+            is_turn_offered: false,
         }
     }
 
@@ -176,14 +179,17 @@
 
     /// The request that is to be offered a place next; it stays in the queue.
     pub fn next(&mut self, now_ms: u64) -> Option<Ticket> {
-        self.offers = (self.offers + 1) % LESS_URGENT_INTERVAL;
         let priorities = self.entries.values().map(|entry| entry.priority);
         let first = priorities.clone().min()?;
         let less_urgent = priorities.filter(|priority| *priority > first).min();
+        // A less urgent request may find no place where a more urgent one does, so that the offers of
+        // a turn alternate until one is placed.
+        let is_turn = self.turns + 1 >= LESS_URGENT_INTERVAL && !self.is_turn_offered;
         let priority = match less_urgent {
-            Some(priority) if self.offers == 0 => priority,
+            Some(priority) if is_turn => priority,
             _ => first,
         };
+        self.is_turn_offered = is_turn;
         let candidates = self.entries.iter();
         let candidates = candidates.filter(|(_, entry)| entry.priority == priority);
         let rank = |(ticket, entry): &(&Ticket, &Waiting)| {
@@ -201,7 +207,12 @@
     /// Removes a request that was placed.
     pub fn place(&mut self, ticket: Ticket, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.drained_ms) as f64;
+        let first = self.entries.values().map(|entry| entry.priority).min();
         if let Some(entry) = self.remove(ticket) {
+            self.turns = match first.is_some_and(|first| first < entry.priority) {
+                true => 0,
+                false => self.turns.saturating_add(1),
+            };
             let mean_ms = self.interval_ms.get_or_insert(elapsed_ms);
             *mean_ms += (elapsed_ms - *mean_ms) * INTERVAL_WEIGHT;
             self.drained_ms = now_ms;
