--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -151,6 +151,8 @@
     limits: AttemptLimits,
     progress: &LastActivity,
 ) -> Result<ServerResponse, Failure> {
+    // Dropped after the ticket, since it offers the place to a waiting request.
+    let run_guard = state.queues.start_run(&routed.service);
     let load_ticket = state.load.start_request(&server.id);
     let prompt_guard = routed
         .prompt
@@ -213,6 +215,7 @@
                 keep_alive: response_head.keep_alive,
                 _load: load_ticket,
                 _prompt: prompt_guard,
+                _run: run_guard,
             };
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
             let wait = EventWait::until(limits.remaining_ms.saturating_sub(elapsed_ms));
@@ -396,6 +399,9 @@
         as_of_ms: state.now_ms(),
     };
     state.load.apply_report(&server.id, report);
+    if report.held < report.slots {
+        state.queues.offer_next(&server.service);
+    }
 }
 
 /// Reads a whole body; calls `on_data` whenever a part of it arrives.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
 use futures_lite::FutureExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
+use crate::decide::learned_capacity::Permit;
 use crate::decide::pause::can_wait;
 use crate::decide::registry::Registration;
 use crate::decide::run_doubt::RunDoubt;
@@ -14,6 +15,7 @@
     self, AttemptLimits, Failure, FailureKind, ResponseBody, ServerResponse,
 };
 use crate::gateway::crash;
+use crate::gateway::first_server;
 use crate::gateway::placement::{self, NoSelection};
 use crate::gateway::quarantine;
 use crate::gateway::reachability::LastActivity;
@@ -72,11 +74,20 @@
 }
 
 /// Why there is no server for an attempt.
-enum NoServer {
+pub(super) enum NoServer {
     /// The deadline has passed.
     TimedOut,
     Quarantined(Rejection),
     NotSelected(NoSelection),
+    /// The learned rate of the service is used up until this monotonic time in ms.
+    RateUsedUp {
+        until_ms: u64,
+    },
+    /// The request cannot wait for capacity, or has waited in vain.
+    NotQueued {
+        is_at_limit: bool,
+        retry_after_ms: u64,
+    },
     /// The retry budget is used up.
     NoRetry,
 }
@@ -98,7 +109,11 @@
     let mut is_next_due = true;
     loop {
         if is_next_due {
-            match next_server(state, routed, history) {
+            let next = match attempts.is_empty() {
+                true => first_server::wait_for_server(state, routed, history).await,
+                false => next_server(state, routed, history),
+            };
+            match next {
                 Ok(server) => {
                     let begun = begin(state, routed, history, server);
                     attempts.push(run(state, routed, &begun, last_event));
@@ -179,7 +194,7 @@
 
 /// Selects the server of the next attempt. A request that was sent before uses up a retry of the
 /// service's budget; one that was not delivered costs the servers nothing.
-fn next_server(
+pub(super) fn next_server(
     state: &State,
     routed: &RoutedRequest,
     history: &AttemptHistory,
@@ -189,6 +204,12 @@
     }
     quarantine::check(state, routed, history).map_err(NoServer::Quarantined)?;
     let server = placement::select_server(state, routed, history).map_err(NoServer::NotSelected)?;
+    if history.runs() == 0
+        && !reports_load(state, &server)
+        && let Permit::Wait { until_ms } = state.queues.permit(&routed.service)
+    {
+        return Err(NoServer::RateUsedUp { until_ms });
+    }
     let is_retry = history.delivered + history.in_progress > 0;
     if is_retry && !state.try_acquire_retry(&routed.service) {
         return Err(NoServer::NoRetry);
@@ -197,6 +218,11 @@
     Ok(server)
 }
 
+/// Whether a server has reported its load; the rates of the others are learned.
+fn reports_load(state: &State, server: &Registration) -> bool {
+    state.load.last_report(&server.id).is_some()
+}
+
 fn begin(
     state: &State,
     routed: &RoutedRequest,
@@ -207,6 +233,9 @@
     history.servers.push(server.id.clone());
     history.last_sent_ms = now_ms;
     history.in_progress += 1;
+    if !reports_load(state, &server) {
+        state.queues.record_sent(&routed.service);
+    }
     Running {
         doubt: RunDoubt::new(overdue_ms(routed, now_ms), now_ms),
         server,
@@ -262,6 +291,21 @@
             Self::TimedOut => deadline_rejection(history),
             Self::Quarantined(rejection) => rejection,
             Self::NotSelected(reason) => no_selection(state, routed, history, reason),
+            Self::RateUsedUp { .. } => {
+                no_selection(state, routed, history, NoSelection::AtCapacity)
+            }
+            Self::NotQueued {
+                is_at_limit,
+                retry_after_ms,
+            } => {
+                let remaining_ms = routed.remaining_ms(state.now_ms());
+                let pause_ms = state.record_overload(&routed.service, remaining_ms);
+                let retry_after_ms = pause_ms.max(retry_after_ms);
+                match is_at_limit {
+                    true => Rejection::AtLimit { retry_after_ms },
+                    false => Rejection::Overloaded { retry_after_ms },
+                }
+            }
             Self::NoRetry => failure_rejection(history, failure),
         }
     }
@@ -286,6 +330,12 @@
     if !routed.route.is_stream {
         let elapsed_ms = now_ms.saturating_sub(sent_ms);
         state.record_run(&routed.service, elapsed_ms);
+        if !response.status.is_server_error() && !reports_load(state, server) {
+            let target_ms = routed.route.latency_target_ms;
+            state
+                .queues
+                .record_completion(&routed.service, elapsed_ms, target_ms);
+        }
     }
     state.metrics.count_attempt("answered");
     state.reachability.record_reached(&server.id);
@@ -334,9 +384,13 @@
     }
     let now_ms = state.now_ms();
     let is_not_run = failure.kind.run_state() == RunState::NotRun;
-    if is_not_run && state.reachability.pause_end_ms(server, now_ms).is_some() {
+    let is_paused = state.reachability.pause_end_ms(server, now_ms).is_some();
+    if is_not_run && is_paused {
         history.paused.push(server.id.clone());
     }
+    if failure.kind == FailureKind::NotRun && !is_paused && !reports_load(state, server) {
+        state.queues.record_decline(&routed.service);
+    }
     match failure.kind {
         FailureKind::Connect => {
             state.pool.close_idle(server.address);
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -11,6 +11,7 @@
 use crate::decide::registry::Registration;
 use crate::edge::clock::Clock;
 use crate::gateway::prompts_in_flight::PromptGuard;
+use crate::gateway::queue::RunGuard;
 use crate::gateway::reachability::LastActivity;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
@@ -53,6 +54,7 @@
     pub(super) keep_alive: Option<Duration>,
     pub(super) _load: LoadTicket,
     pub(super) _prompt: Option<PromptGuard>,
+    pub(super) _run: RunGuard,
 }
 
 impl EventSource {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use crate::decide::placement::{
-    AtCapacity, PromptDemand, Server, place, prefer_limited, smooth_counts,
+    AtCapacity, FULL_PER_SLOT, PromptDemand, Server, place_below, prefer_limited, smooth_counts,
 };
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
@@ -83,7 +83,12 @@
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
         routers: state.router_count(),
     });
-    let placed = place(&candidates, prompt, rand::rng().random());
+    let full_per_slot = match routed.prompt {
+        Some(_) => state.queues.full_per_slot(&routed.service, routed.priority),
+        None => FULL_PER_SLOT,
+    };
+    let draw = rand::rng().random();
+    let placed = place_below(full_per_slot, &candidates, prompt, draw);
     let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
     let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
     let is_light = state.record_prompt_size(&routed.service, shared_tokens);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -189,13 +189,14 @@
     Ok(match response.body {
         ResponseBody::Complete(bytes) => {
             log::info!(
-                "event=answered id={} route={} service={} server={} status={} sends={} ms={}",
+                "event=answered id={} route={} service={} server={} status={} sends={} queue_ms={} ms={}",
                 routed.id,
                 routed.route.name,
                 routed.service,
                 history.servers.last().map_or("-", |server| server.as_str()),
                 response.status.as_u16(),
                 history.servers.len(),
+                history.queue_ms,
                 state.now_ms().saturating_sub(routed.arrived_ms),
             );
             let fields = whole_body_fields(&routed.method, response.status, &response.headers);
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -82,6 +82,8 @@
     pub in_progress: u32,
     /// Monotonic time in ms at which the last attempt, or the one that got a response, was sent.
     pub last_sent_ms: u64,
+    /// Time in ms for which the request waited for capacity before its first attempt.
+    pub queue_ms: u64,
 }
 
 impl AttemptHistory {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,7 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
+use crate::gateway::queue::Queues;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::strike_feed::StrikeFeed;
 use crate::http::memory_budget::MemoryBudget;
@@ -91,6 +92,8 @@
     pub load: LoadTable,
     /// Number of this router's requests in flight, by shared prompt parts.
     pub prompts_in_flight: PromptsInFlight,
+    /// Requests that wait for capacity of their service.
+    pub queues: Queues,
     /// Bound on the memory of all responses that are being received.
     pub response_memory: MemoryBudget,
     /// Timeouts of callers' connections.
@@ -160,6 +163,7 @@
         Ok(Self {
             metrics: GatewayMetrics::open()?,
             response_memory: MemoryBudget::new(settings.memory_bytes / RESPONSE_MEMORY_DIVISOR),
+            queues: Queues::new(Arc::clone(&clock), settings.memory_bytes),
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
@@ -435,6 +439,7 @@
             "routers": self.router_count(),
             "router_index": self.fleet_place().index,
             "config_version": routing.as_ref().map(|routing| routing.version),
+            "queues": self.queues.dump(),
             "servers": servers,
         })
     }
@@ -483,9 +488,10 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Marks the process as stopping, so that it is no longer ready.
+    /// Marks the process as stopping, so that it is no longer ready and no request waits in a queue.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
+        self.queues.wake_all();
     }
 
     /// Number of callers' requests and streams in flight.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -417,7 +417,7 @@
         let declared_bytes = self.first.declared_bytes.map(|bytes| bytes.to_string());
         log::info!(
             "event=streamed id={} route={} service={} server={} outcome={} events={} bytes={} \
-             declared_bytes={} sends={} ms={}",
+             declared_bytes={} sends={} queue_ms={} ms={}",
             self.routed.id,
             self.routed.route.name,
             self.routed.service,
@@ -427,6 +427,7 @@
             self.bytes,
             declared_bytes.as_deref().unwrap_or("-"),
             self.history.servers.len(),
+            self.history.queue_ms,
             self.state.now_ms().saturating_sub(self.routed.arrived_ms),
         );
     }
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics of a gateway.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, UpDownCounter};
 
 use crate::decide::strikes::StrikeStatus;
 use crate::decide::table_position::Era;
@@ -25,6 +25,9 @@
     streams: Counter<u64>,
     events: Counter<u64>,
     first_answer_ms: Histogram<f64>,
+    queue_waiting: UpDownCounter<i64>,
+    queue_ms: Histogram<f64>,
+    queue_refused: Counter<u64>,
     source_era: Gauge<u64>,
     source_restores: Counter<u64>,
 }
@@ -64,6 +67,21 @@
                 .with_description("Time to the answer or a stream's first event in ms")
                 .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
                 .build(),
+            queue_waiting: meter
+                .i64_up_down_counter("gateway.queue_waiting")
+                .with_description("Requests that wait for capacity of their service")
+                .build(),
+            queue_ms: meter
+                .f64_histogram("gateway.queue_ms")
+                .with_description(
+                    "Time for which requests waited in ms, by how they left the queue",
+                )
+                .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+                .build(),
+            queue_refused: meter
+                .u64_counter("gateway.queue_refused")
+                .with_description("Requests that were refused on arrival instead of waiting")
+                .build(),
             source_era: meter
                 .u64_gauge("gateway.source_era")
                 .with_description("Era of the source of the routes")
@@ -96,6 +114,22 @@
         self.first_answer_ms.record(duration_ms as f64, &[]);
     }
 
+    /// Adds to the number of requests that wait for capacity.
+    pub fn add_waiting(&self, count: i64) {
+        self.queue_waiting.add(count, &[]);
+    }
+
+    /// Records how long a request waited, and how it left the queue.
+    pub fn record_wait(&self, outcome: &'static str, duration_ms: u64) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.queue_ms.record(duration_ms as f64, &[outcome]);
+    }
+
+    /// Counts a request that was refused on arrival instead of waiting.
+    pub fn count_queue_refused(&self) {
+        self.queue_refused.add(1, &[]);
+    }
+
     /// Counts an attempt on a backend server.
     pub fn count_attempt(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
