--- a/src/decide/learned_capacity.rs
+++ b/src/decide/learned_capacity.rs
@@ -9,8 +9,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Time over which the rate of sent requests is measured.
-const SENT_WINDOW_MS: f64 = 1_000.0;
+/// Time over which the rates of sent and of completed requests are measured.
+const RATE_WINDOW_MS: f64 = 1_000.0;
 /// Weight of a new run time in the mean. Single runs vary by more than a short queue adds.
 const RUN_WEIGHT: f64 = 0.25;
 /// Completions before the mean run time is used.
@@ -29,10 +29,12 @@
 const LONG_FACTOR: f64 = 0.92;
 /// Factor of the rate for a declined request.
 const DECLINED_FACTOR: f64 = 0.75;
+/// Part of the rate of completions below which declines do not reduce the rate.
+const COMPLETED_FACTOR: f64 = 0.9;
 /// Time between two reductions for declines: those of requests in flight have the same cause.
 const DECLINE_PAUSE_MS: u64 = 100;
-/// Declines within `DECLINES_WINDOW_MS` that show that the servers are full. A server may decline a
-/// single request for another reason.
+/// Declines in turn, within `DECLINES_WINDOW_MS`, that show that the servers are full. A request that
+/// one server declines and another one runs shows that there is room.
 const DECLINES_MIN: u32 = 2;
 const DECLINES_WINDOW_MS: u64 = 1_000;
 /// Growth of the rate in a second: a constant part, by which the rates of all routers become equal,
@@ -71,8 +73,8 @@
     rate_per_s: Option<f64>,
     tokens: f64,
     refilled_ms: u64,
-    sent: f64,
-    sent_ms: u64,
+    sent: Recent,
+    completed: Recent,
     run_ms: f64,
     runs: u32,
     /// Whether the last run took longer than the bound.
@@ -85,6 +87,25 @@
     declined_per_s: Option<f64>,
 }
 
+/// Number of recent events, in which earlier ones count less.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    count: f64,
+    as_of_ms: u64,
+}
+
+impl Recent {
+    fn at(&self, now_ms: u64) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.as_of_ms) as f64;
+        self.count * (-elapsed_ms / RATE_WINDOW_MS).exp()
+    }
+
+    fn add(&mut self, now_ms: u64) {
+        self.count = self.at(now_ms) + 1.0;
+        self.as_of_ms = now_ms;
+    }
+}
+
 /// Lowest mean run time of the current period and of the one before it.
 #[derive(Debug, Clone, Copy, Default)]
 struct Lowest {
@@ -136,8 +157,7 @@
 
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, now_ms: u64) {
-        self.sent = self.recently_sent(now_ms) + 1.0;
-        self.sent_ms = now_ms;
+        self.sent.add(now_ms);
         if let Some(rate_per_s) = self.rate_per_s {
             self.refill(rate_per_s, now_ms);
             self.tokens -= 1.0;
@@ -148,6 +168,8 @@
     /// `target_ms`.
     pub fn record_completion(&mut self, run_ms: u64, target_ms: u64, now_ms: u64) {
         let run_ms = run_ms as f64;
+        self.declines = 0;
+        self.completed.add(now_ms);
         self.runs = self.runs.saturating_add(1);
         self.run_ms += match self.runs {
             1 => run_ms,
@@ -183,9 +205,11 @@
         let is_due = now_ms >= self.reduced_ms + DECLINE_PAUSE_MS;
         let is_full = self.declines >= DECLINES_MIN || self.rate_per_s.is_some();
         if is_full && (is_due || self.rate_per_s.is_none()) {
-            let rate_per_s = self.rate_per_s;
-            self.declined_per_s = Some(rate_per_s.unwrap_or_else(|| self.sent_per_s(now_ms)));
-            self.reduce(DECLINED_FACTOR, now_ms);
+            self.declined_per_s = Some(self.current_rate(now_ms));
+            // What servers complete they have room for, even if one of them declines all it gets.
+            let completed_per_s = self.completed.at(now_ms) * MS_PER_S / RATE_WINDOW_MS;
+            let least_factor = COMPLETED_FACTOR * completed_per_s / self.current_rate(now_ms);
+            self.reduce(DECLINED_FACTOR.max(least_factor.min(1.0)), now_ms);
         }
     }
 
@@ -194,23 +218,23 @@
         self.rate_per_s
     }
 
-    fn recently_sent(&self, now_ms: u64) -> f64 {
-        let elapsed_ms = now_ms.saturating_sub(self.sent_ms) as f64;
-        self.sent * (-elapsed_ms / SENT_WINDOW_MS).exp()
+    fn sent_per_s(&self, now_ms: u64) -> f64 {
+        self.sent.at(now_ms) * MS_PER_S / RATE_WINDOW_MS
     }
 
-    fn sent_per_s(&self, now_ms: u64) -> f64 {
-        self.recently_sent(now_ms) * MS_PER_S / SENT_WINDOW_MS
+    /// The rate in force, or that of the requests sent if there is none.
+    fn current_rate(&self, now_ms: u64) -> f64 {
+        let rate_per_s = self.rate_per_s.unwrap_or_else(|| self.sent_per_s(now_ms));
+        rate_per_s.max(RATE_MIN_PER_S)
     }
 
     fn reduce(&mut self, factor: f64, now_ms: u64) {
         self.reduced_ms = now_ms;
-        let known = self.rate_per_s;
-        if known.is_none() {
+        let rate_per_s = self.current_rate(now_ms);
+        if self.rate_per_s.is_none() {
             self.tokens = 1.0;
             self.refilled_ms = now_ms;
         }
-        let rate_per_s = known.unwrap_or_else(|| self.sent_per_s(now_ms));
         self.rate_per_s = Some((rate_per_s * factor).max(RATE_MIN_PER_S));
     }
 
--- a/src/decide/learned_capacity/tests.rs
+++ b/src/decide/learned_capacity/tests.rs
@@ -225,6 +225,20 @@
     }
 }
 
+/// Guards against one server that always declines, by which the router would hold back what the others
+/// can run.
+#[test]
+fn record_decline_between_completions_holds_nothing_back() {
+    let mut capacity = LearnedCapacity::default();
+    for now_ms in (0..10_000).step_by(20) {
+        capacity.record_sent(now_ms);
+        capacity.record_decline(now_ms);
+        capacity.record_sent(now_ms);
+        capacity.record_completion(30, 150, now_ms + 30);
+    }
+    assert_eq!(capacity.rate_per_s(), None);
+}
+
 /// Guards against a rate for good after declines that have another cause than load.
 #[test]
 fn record_decline_once_holds_nothing_back() {
