--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -19,6 +19,7 @@
 use smol::Timer;
 
 use crate::listening::Listening;
+use crate::platform::places::Places;
 use crate::platform::stream::{self, StreamStyle, Words};
 use crate::serve::{Body, Server, close_connection, response};
 
@@ -97,76 +98,10 @@
     events_before_crash: u64,
     stream_style: StreamStyle,
     event_pause: Duration,
-    places: Option<Places>,
-    running: usize,
-    waiting: usize,
-}
-
-/// Requests that a server runs and queues at most, and whether it reports them.
-#[derive(Debug, Clone, Copy)]
-struct Places {
-    slots: usize,
-    queue: usize,
-    reports_load: bool,
-}
-
-/// Interval at which a queued request looks for a free slot.
-const SLOT_POLL: Duration = Duration::from_millis(1);
-
-/// A request that runs; dropping it frees its slot.
-struct RunningRequest(Arc<Mutex<State>>);
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.0.lock().running -= 1;
-    }
-}
-
-/// A request that waits for a slot; dropping it leaves the queue.
-struct QueuedRequest(Arc<Mutex<State>>);
-
-impl Drop for QueuedRequest {
-    fn drop(&mut self) {
-        self.0.lock().waiting -= 1;
-    }
-}
-
-/// Waits for a slot; `None` if the queue is full.
-async fn take_slot(state: &Arc<Mutex<State>>) -> Option<RunningRequest> {
-    let _queued = {
-        let mut state_now = state.lock();
-        let is_full = state_now.places.is_some_and(|places| {
-            state_now.running + state_now.waiting >= places.slots + places.queue
-        });
-        if is_full {
-            return None;
-        }
-        state_now.waiting += 1;
-        QueuedRequest(Arc::clone(state))
-    };
-    loop {
-        {
-            let mut state_now = state.lock();
-            let slots = state_now.places.map_or(usize::MAX, |places| places.slots);
-            if state_now.running < slots {
-                state_now.running += 1;
-                return Some(RunningRequest(Arc::clone(state)));
-            }
-        }
-        Timer::after(SLOT_POLL).await;
-    }
+    places: Places,
 }
 
 impl State {
-    /// Value of `x-server-load`, if the server reports its load.
-    fn load(&self) -> Option<String> {
-        let places = self.places.filter(|places| places.reports_load)?;
-        Some(format!(
-            "{},{},{}",
-            self.running, self.waiting, places.slots
-        ))
-    }
-
     fn is_crashed_by(&self, headers: &HeaderMap, body: &[u8]) -> bool {
         let parts = headers.get("x-prefix-hash").and_then(|v| v.to_str().ok());
         let mut parts = parts.unwrap_or_default().split(',');
@@ -305,11 +240,7 @@
     /// Sets how many requests the server runs at once and queues, beyond which it declines them, and
     /// whether its responses report its load. At first it runs all at once and reports none.
     pub fn set_places(&self, slots: usize, queue: usize, reports_load: bool) {
-        self.state.lock().places = Some(Places {
-            slots,
-            queue,
-            reports_load,
-        });
+        self.state.lock().places.set(slots, queue, reports_load);
     }
 
     /// Sets how long the server runs each request; 0 at first.
@@ -357,7 +288,7 @@
     let response = respond(incarnation, request).await;
     let (is_leaving, limit, load) = {
         let state = state.lock();
-        (state.is_leaving, state.limit.clone(), state.load())
+        (state.is_leaving, state.limit.clone(), state.places.load())
     };
     let response = match load {
         Some(load) => with_header(response, "x-server-load", &load),
@@ -395,9 +326,10 @@
         fault,
         Some(Fault::NotRun | Fault::AtCapacity | Fault::Pause(_))
     );
+    let places = state.lock().places.clone();
     let running = match is_declined {
         true => None,
-        false => take_slot(&state).await,
+        false => places.take_slot().await,
     };
     let Some(_running) = running else {
         state.lock().declined += 1;
