--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -179,9 +179,10 @@
 
     /// The request that is to be offered a place next; it stays in the queue.
     pub fn next(&mut self, now_ms: u64) -> Option<Ticket> {
-        let priorities = self.entries.values().map(|entry| entry.priority);
+        let mut priorities = self.entries.values().map(|entry| entry.priority);
         let first = priorities.clone().min()?;
-        let less_urgent = priorities.filter(|priority| *priority > first).min();
+        // That of the one that has waited longest: the next priority would starve those after it.
+        let less_urgent = priorities.find(|priority| *priority > first);
         // A less urgent request may find no place where a more urgent one does, so that the offers of
         // a turn alternate until one is placed.
         let is_turn = self.turns + 1 >= LESS_URGENT_INTERVAL && !self.is_turn_offered;
--- a/src/decide/wait_queue/tests.rs
+++ b/src/decide/wait_queue/tests.rs
@@ -53,6 +53,31 @@
     assert_eq!(less_urgent, 200 / LESS_URGENT_INTERVAL);
 }
 
+/// Guards against a turn that always goes to the second priority, under which the third waits for ever.
+#[test]
+fn next_each_less_urgent_priority_has_turns() {
+    let mut queue = WaitQueue::new(BYTES_MAX);
+    let mut placed = [0; 3];
+    for now_ms in 0..240 {
+        for priority in 0..3 {
+            while queue
+                .entries
+                .values()
+                .filter(|e| e.priority == priority)
+                .count()
+                < 2
+            {
+                queue
+                    .push(waiting(priority, 1, now_ms), now_ms, 0.0)
+                    .unwrap();
+            }
+        }
+        placed[pop(&mut queue, now_ms).unwrap().priority as usize] += 1;
+    }
+    assert_eq!(placed[0], 210);
+    assert!(placed[1] >= 14 && placed[2] >= 14, "{placed:?}");
+}
+
 /// Guards against fairness by requests, under which a team with large ones gets more than its share.
 #[test]
 fn next_teams_share_the_served_work() {
