--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! Nothing here opens a socket, reads a clock or starts a task, so a recorded trace of
 //! inputs replays to the same outputs.
 
+pub mod admission_level;
 pub mod admit;
 pub mod allowance;
 pub mod capacity;
@@ -15,6 +16,7 @@
 pub mod fleet_counts;
 pub mod health;
 pub mod hint;
+pub mod learned_capacity;
 pub mod lease;
 pub mod load;
 pub mod membership;
@@ -39,3 +41,4 @@
 pub mod table_position;
 pub mod trace;
 pub mod version;
+pub mod wait_queue;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::decide::capacity::{Availability, Hold, HoldReason};
 use crate::decide::placement::{
-    AtCapacity, PromptDemand, Server, place, prefer_limited, smooth_counts,
+    AtCapacity, FULL_PER_SLOT, PromptDemand, Server, place_below, prefer_limited, smooth_counts,
 };
 use crate::decide::registry::Registration;
 use crate::decide::rendezvous::score;
@@ -162,7 +162,12 @@
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
         routers: state.router_count(),
     });
-    let placed = place(&candidates, prompt, rand::rng().random());
+    let full_per_slot = match routed.prompt {
+        Some(_) => state.queues.full_per_slot(&routed.service, routed.priority),
+        None => FULL_PER_SLOT,
+    };
+    let draw = rand::rng().random();
+    let placed = place_below(full_per_slot, &candidates, prompt, draw);
     let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
     if is_light {
         prefer_limited(&mut ordered, &state.reachability.limited(&servers, now_ms));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
+use crate::gateway::queue::Queues;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::server_bytes::ServerBytes;
 use crate::gateway::strike_feed::StrikeFeed;
@@ -106,6 +107,8 @@
     pub memory: Memory,
     /// Bytes of request bodies in flight to each server.
     pub server_bytes: ServerBytes,
+    /// Requests that wait for capacity of their service.
+    pub queues: Queues,
     /// Timeouts of callers' connections.
     pub caller_timeouts: CallerTimeouts,
     /// Metrics of the request path.
@@ -178,6 +181,7 @@
             memory: Memory::new(settings.memory_bytes, Arc::clone(&clock)),
             server_bytes: ServerBytes::default(),
             allowances: Allowances::new(settings.relay.as_ref(), Arc::clone(&clock)),
+            queues: Queues::new(Arc::clone(&clock), settings.memory_bytes),
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
@@ -474,9 +478,10 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Marks the process as stopping, so that it is no longer ready.
+    /// Marks the process as stopping, so that it is no longer ready and no request waits in a queue.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
+        self.queues.wake_all();
     }
 
     /// Number of callers' requests and streams in flight.
--- a/src/gateway/state/dump.rs
+++ b/src/gateway/state/dump.rs
@@ -67,6 +67,7 @@
                 "expired": units.expired,
             },
             "config_version": routing.as_ref().map(|routing| routing.version),
+            "queues": self.queues.dump(),
             "servers": servers,
         })
     }
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -19,6 +19,7 @@
 use smol::Timer;
 
 use crate::listening::Listening;
+use crate::platform::places::Places;
 use crate::platform::stream::{self, StreamStyle, Words};
 use crate::serve::{Body, Server, close_connection, response};
 
@@ -98,6 +99,7 @@
     events_before_crash: u64,
     stream_style: StreamStyle,
     event_pause: Duration,
+    places: Places,
 }
 
 impl State {
@@ -241,6 +243,12 @@
         self.state.lock().cold_ms = cold_ms.map(str::to_owned);
     }
 
+    /// Sets how many requests the server runs at once and queues, beyond which it declines them, and
+    /// whether its responses report its load. At first it runs all at once and reports none.
+    pub fn set_places(&self, slots: usize, queue: usize, reports_load: bool) {
+        self.state.lock().places.set(slots, queue, reports_load);
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -284,14 +292,23 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
-    let (is_leaving, limit, cold_ms) = {
+    let (is_leaving, limit, cold_ms, load) = {
         let state = state.lock();
-        (state.is_leaving, state.limit.clone(), state.cold_ms.clone())
+        (
+            state.is_leaving,
+            state.limit.clone(),
+            state.cold_ms.clone(),
+            state.places.load(),
+        )
     };
     let response = match cold_ms {
         Some(cold_ms) => with_header(response, "x-cold-ms", &cold_ms),
         None => response,
     };
+    let response = match load {
+        Some(load) => with_header(response, "x-server-load", &load),
+        None => response,
+    };
     let response = match is_leaving {
         true => with_header(response, "server-leaving", "1"),
         false => response,
@@ -320,10 +337,16 @@
     }
     state.lock().arrivals.push(Instant::now());
     let fault = state.lock().queued_faults.pop_front();
-    if matches!(
+    let is_declined = matches!(
         fault,
         Some(Fault::NotRun | Fault::AtCapacity | Fault::Pause(_))
-    ) {
+    );
+    let places = state.lock().places.clone();
+    let running = match is_declined {
+        true => None,
+        false => places.take_slot().await,
+    };
+    let Some(_running) = running else {
         state.lock().declined += 1;
         let declined = with_header(
             response(StatusCode::SERVICE_UNAVAILABLE, ""),
@@ -339,7 +362,7 @@
             Some(Fault::Pause(retry_after)) => with_header(declined, "retry-after", retry_after),
             _ => declined,
         };
-    }
+    };
     let is_stream = parts.uri.path().contains("/stream");
     let after = parts
         .headers
