--- a/model/src/engine.rs
+++ b/model/src/engine.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use crate::traffic::Job;
+use crate::traffic::{Job, PromptPart};
 
 /// Capacity and speed of an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -62,6 +62,10 @@
     pub reread_tokens: u64,
     /// Requests preempted for lack of memory.
     pub preempted: u64,
+    /// Requests whose shared prompt an earlier request had too.
+    pub repeated: u64,
+    /// Requests among those that the engine started without holding their shared prompt.
+    pub missed: u64,
 }
 
 /// An engine: batch, queue and cache of shared prompt parts.
@@ -199,6 +203,11 @@
     /// prefilled. A cached part is usable only if all parts before it are available too.
     fn prefill_shared(&mut self, job: &Job, is_fetchable: impl Fn(u64) -> bool) -> u64 {
         let mut missing = 0;
+        if job.was_prefilled_before {
+            let is_cached = |part: &PromptPart| self.cached.contains_key(&part.id);
+            self.counts.repeated += 1;
+            self.counts.missed += u64::from(!job.parts.iter().all(is_cached));
+        }
         for part in &job.parts {
             let cached = self.cached.shift_remove(&part.id);
             self.cached.insert(part.id, part.tokens);
--- a/model/src/report.rs
+++ b/model/src/report.rs
@@ -51,6 +51,8 @@
 
 /// Length of the spans that are summed up to sliding windows.
 const SPAN_MS: u64 = 250;
+/// Interval between the samples whose ratios are compared.
+const RATIO_INTERVAL_MS: u64 = 100;
 /// Length of the window in which the platform measures arrivals at crowded servers.
 const WINDOW_MS: u64 = 5_000;
 /// The platform's bound on a server's load: `BOUND_TIMES_MEAN` times the mean plus `BOUND_BEYOND`
@@ -133,6 +135,8 @@
     pub fn add_engine_counts(&mut self, counts: EngineCounts) {
         self.engines.reread_tokens += counts.reread_tokens;
         self.engines.preempted += counts.preempted;
+        self.engines.repeated += counts.repeated;
+        self.engines.missed += counts.missed;
     }
 
     /// Share of the arrivals at engines over the platform's bound, in the window where it is
@@ -158,6 +162,32 @@
         seconds.map(share).collect()
     }
 
+    /// Share of the requests with a shared prompt that ran before which went to an engine that did
+    /// not hold it.
+    pub fn missed_share(&self) -> f64 {
+        self.engines.missed as f64 / self.engines.repeated.max(1) as f64
+    }
+
+    /// Share of all arrivals between two times that met an engine over the platform's bound.
+    pub fn over_bound_share(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let spans = &self.spans[(from_ms / SPAN_MS) as usize..(to_ms / SPAN_MS) as usize];
+        let arrivals: u64 = spans.iter().map(|span| span.arrivals).sum();
+        let over_bound: u64 = spans.iter().map(|span| span.over_bound).sum();
+        over_bound as f64 / arrivals.max(1) as f64
+    }
+
+    /// Ratios of the highest load to the mean between two times, every 100 ms, in ascending order.
+    pub fn load_ratios(&self, from_ms: u64, to_ms: u64) -> Vec<f64> {
+        let samples = self.samples.iter().filter(|sample| {
+            (from_ms..to_ms).contains(&sample.at_ms)
+                && sample.at_ms.is_multiple_of(RATIO_INTERVAL_MS)
+                && sample.mean >= 1.0
+        });
+        let mut ratios: Vec<f64> = samples.map(|s| f64::from(s.highest) / s.mean).collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios
+    }
+
     /// Number of requests of all kinds by outcome.
     pub fn total(&self) -> KindCounts {
         let mut total = KindCounts::default();
--- a/model/src/scenario.rs
+++ b/model/src/scenario.rs
@@ -58,7 +58,7 @@
 }
 
 /// Names of the available fleets.
-pub const FLEETS: [&str; 2] = ["small", "grown"];
+pub const FLEETS: [&str; 4] = ["small", "grown", "fotocal", "agroeb"];
 
 impl Scenario {
     /// The named fleet with a burst of ten seconds, during which the traffic is `factor` times the
@@ -80,6 +80,8 @@
         match name {
             "small" => Some(small(burst)),
             "grown" => Some(grown(burst)),
+            "fotocal" => Some(fotocal(burst)),
+            "agroeb" => Some(agroeb(burst)),
             _ => None,
         }
     }
@@ -103,7 +105,7 @@
         },
         time_factors: vec![1.0],
         report_lag_ms: 200,
-        kinds: kinds([13.0, 21.5, 18.9], [1_000, 500, 500], [385, 294, 21]),
+        kinds: kinds([13.0, 21.5, 18.9], [1_000, 500, 500], [385, 294, 21], 0.0).to_vec(),
         burst,
         length_ms: 20_000,
     }
@@ -127,17 +129,93 @@
         },
         time_factors: vec![1.0, 1.0, 1.3],
         report_lag_ms: 100,
-        kinds: kinds([217.0, 255.0, 356.0], [800, 400, 500], [380, 290, 20]),
+        kinds: kinds([217.0, 255.0, 356.0], [800, 400, 500], [380, 290, 20], 0.0).to_vec(),
         burst,
         length_ms: 20_000,
     }
 }
 
-fn kinds(rate_per_s: [f64; 3], goal_ms: [u64; 3], output_tokens: [u64; 3]) -> Vec<RequestKind> {
+/// Popularity of prompts on the newer fleets: the first of 436 prompts has a ninth of the requests.
+const POPULARITY_EXPONENT: f64 = 0.9;
+
+/// Rates, lengths and latency targets of the deployment `fotocal`.
+fn fotocal(burst: Burst) -> Scenario {
+    let [mut report, mut label, mut verdict] = kinds(
+        [96.0, 200.0, 165.0],
+        [1_500, 400, 400],
+        [385, 294, 21],
+        POPULARITY_EXPONENT,
+    );
+    (report.name, report.distinct_prompts, report.priority) = ("batch-report", 332, 2);
+    (label.name, label.distinct_prompts, label.priority) = ("defect-label", 436, 0);
+    (verdict.name, verdict.distinct_prompts, verdict.priority) = ("pass-verdict", 233, 1);
+    Scenario {
+        routers: 86,
+        seeds: 3,
+        engines: 90,
+        engine: EngineSpec {
+            slots: 32,
+            queue_max: 96,
+            step_base_us: 3_740.0,
+            step_per_request_us: 101.0,
+            prefill_tokens_per_ms: 81.9,
+            prefill_chunk_tokens: 2_048,
+            memory_tokens: 510_024,
+            time_factor: 1.0,
+        },
+        time_factors: vec![1.0],
+        report_lag_ms: 0,
+        kinds: vec![label, verdict, report],
+        burst,
+        length_ms: 16_000,
+    }
+}
+
+/// Rates, lengths and latency targets of the deployment `agroeb`.
+fn agroeb(burst: Burst) -> Scenario {
+    let [mut summary, mut code, mut check] = kinds(
+        [189.0, 219.0, 375.0],
+        [600, 400, 400],
+        [385, 294, 21],
+        POPULARITY_EXPONENT,
+    );
+    (summary.name, summary.distinct_prompts) = ("diag-sumario", 332);
+    (code.name, code.distinct_prompts) = ("codigo-falla", 436);
+    (check.name, check.distinct_prompts) = ("check-registro", 233);
+    Scenario {
+        routers: 32,
+        seeds: 3,
+        engines: 112,
+        engine: EngineSpec {
+            slots: 16,
+            queue_max: 48,
+            step_base_us: 2_970.0,
+            step_per_request_us: 101.0,
+            prefill_tokens_per_ms: 101.0,
+            prefill_chunk_tokens: 2_048,
+            memory_tokens: 373_173,
+            time_factor: 1.0,
+        },
+        time_factors: vec![1.0],
+        report_lag_ms: 0,
+        kinds: vec![summary, code, check],
+        burst,
+        length_ms: 16_000,
+    }
+}
+
+/// The kinds that all fleets have, with a long, a short and a middle prompt.
+fn kinds(
+    rate_per_s: [f64; 3],
+    goal_ms: [u64; 3],
+    output_tokens: [u64; 3],
+    popularity_exponent: f64,
+) -> [RequestKind; 3] {
     let kind = |index: usize, name, distinct_prompts, tokens: [u64; 3], priority| RequestKind {
         name,
         rate_per_s: rate_per_s[index],
         distinct_prompts,
+        popularity_exponent,
         common_tokens: tokens[0],
         prompt_tokens: tokens[1],
         unique_tokens: tokens[2],
@@ -145,7 +223,7 @@
         goal_ms: goal_ms[index],
         priority,
     };
-    vec![
+    [
         kind(0, "digest", 48, [512, 10_000, 1_300], 1),
         kind(1, "answer", 130, [119, 580, 130], 0),
         kind(2, "tag", 111, [341, 1_700, 360], 2),
--- a/model/src/traffic.rs
+++ b/model/src/traffic.rs
@@ -40,6 +40,8 @@
     pub rate_per_s: f64,
     /// Number of distinct shared prompts.
     pub distinct_prompts: u64,
+    /// Exponent of the Zipf distribution of the prompts' popularity; 0 makes all equally popular.
+    pub popularity_exponent: f64,
     /// Tokens of the first part, which is common to all prompts of the kind.
     pub common_tokens: u64,
     /// Tokens of the second part, which is common to the requests with the same prompt.
@@ -82,12 +84,29 @@
     rng: ChaCha8Rng,
     next_id: usize,
     seen_prompts: std::collections::HashSet<u64>,
+    /// For each kind, the cumulated popularity of its prompts; empty if all are equally popular.
+    popularity: Vec<Vec<f64>>,
+}
+
+/// Cumulated shares of a kind's prompts, the most popular one first.
+fn cumulated_popularity(kind: &RequestKind) -> Vec<f64> {
+    if kind.popularity_exponent == 0.0 {
+        return Vec::new();
+    }
+    let weight = |rank: u64| (rank as f64).powf(-kind.popularity_exponent);
+    let total: f64 = (1..=kind.distinct_prompts).map(weight).sum();
+    let sums = (1..=kind.distinct_prompts).scan(0.0, |sum, rank| {
+        *sum += weight(rank) / total;
+        Some(*sum)
+    });
+    sums.collect()
 }
 
 impl Traffic {
     /// Creates a generator for these kinds of request.
     pub fn new(kinds: Vec<RequestKind>, burst: Burst, rng: ChaCha8Rng) -> Self {
         Self {
+            popularity: kinds.iter().map(cumulated_popularity).collect(),
             kinds,
             burst,
             rng,
@@ -116,7 +135,14 @@
         let is_hot = is_burst && index == 0 && self.rng.random::<f64>() < self.burst.hot_share;
         let prompt = match is_hot {
             true => 0,
-            false => self.rng.random_range(0..kind.distinct_prompts),
+            false if self.popularity[index].is_empty() => {
+                self.rng.random_range(0..kind.distinct_prompts)
+            }
+            false => {
+                let drawn: f64 = self.rng.random();
+                let rank = self.popularity[index].partition_point(|sum| *sum < drawn) as u64;
+                rank.min(kind.distinct_prompts - 1)
+            }
         };
         let part_id = |name: u64| (index as u64 + 1) << 32 | name;
         let parts = vec![
