Expect the requests that late counts do not show, and weigh load by the speed of the host

A router refuses or diverts requests in a busy service so that those of all routers just fill the free slots within the delay of the counts. The fourth field of X-Server-Load multiplies the load of its server.

--- a/model/examples/evenness.rs
+++ b/model/examples/evenness.rs
@@ -10,7 +10,9 @@
 const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn main() {
-    println!("fleet    load  busiest/mean median, p90, highest   over bound  (worst 5 s)  missed");
+    println!(
+        "fleet    load  busiest/mean median, p90, highest  over bound, worst 5 s  missed  in time, of the worst kind, refused"
+    );
     for fleet in ["fotocal", "agroeb"] {
         for (factor, hot_share) in LOADS {
             let Some(scenario) = Scenario::named(fleet, factor, hot_share) else {
@@ -28,8 +30,12 @@
                 ratios.get(index as usize).copied().unwrap_or(0.0)
             };
             let total = |report: &Report| report.total().in_time_share();
+            let refused = |r: &Report| {
+                let total = r.total();
+                total.refused as f64 / (total.in_time + total.late + total.refused) as f64
+            };
             println!(
-                "{fleet:<8} {factor:<4}  {:.2} {:.2} {:.2}  {:>6.2}% {:>6.2}%  {:>6.2}%  in time {:.3} worst kind {:.3} refused {:.3} mean {:.1} reread {:.0}",
+                "{fleet:<8} {factor:<4}  {:.2} {:.2} {:.2}  {:>6.2}% {:>6.2}%  {:>6.2}%  {:.3} {:.3} {:.3}",
                 mean(&|r| quantile(r, 0.5)),
                 mean(&|r| quantile(r, 0.9)),
                 mean(&|r| quantile(r, 1.0)),
@@ -38,9 +44,7 @@
                 mean(&|r| r.missed_share() * 100.0),
                 mean(&total),
                 mean(&Report::worst_kind_share),
-                mean(&|r| r.total().refused as f64 / (r.total().refused + r.total().late + r.total().in_time) as f64),
-                mean(&|r| r.samples.iter().filter(|s| s.at_ms >= from_ms + 2000 && s.at_ms < to_ms).map(|s| s.mean).sum::<f64>() / ((to_ms - from_ms - 2000) / 10) as f64),
-                mean(&|r| r.engines.reread_tokens as f64),
+                mean(&refused),
             );
         }
     }
--- a/model/src/engine.rs
+++ b/model/src/engine.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Changes the multiplier of the durations, from the next step on.
+    pub fn set_time_factor(&mut self, time_factor: f64) {
+        self.spec.time_factor = time_factor;
+    }
+
     /// Capacity and speed.
     pub fn spec(&self) -> EngineSpec {
         self.spec
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -87,6 +87,10 @@
         let traffic_rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7472_6166);
         let mut traffic = Traffic::new(scenario.kinds.clone(), scenario.burst, traffic_rng);
         for now_ms in 0..scenario.length_ms {
+            let shift_ms = scenario.time_factor_shift_ms;
+            if shift_ms > 0 && now_ms.is_multiple_of(shift_ms) {
+                fleet.shift_time_factors(now_ms / shift_ms);
+            }
             fleet.run_events(now_ms * 1_000);
             for job in traffic.arrivals_at(now_ms) {
                 let request = fleet.requests.len();
@@ -185,7 +189,8 @@
         let job = self.requests[request].job.clone();
         if self.engines[server].enqueue(job).is_err() {
             let load = self.reported_load(server);
-            self.routers[router].apply_load_report(server, load, now_ms);
+            let speed = self.reported_speed(server);
+            self.routers[router].apply_load_report(server, load, speed, now_ms);
             return false;
         }
         self.requests[request].assigned = Some((router, server));
@@ -249,7 +254,23 @@
         self.prefilled_parts
             .extend(job.parts.iter().map(|part| part.id));
         if let Some((router, server)) = self.requests[request].assigned {
-            self.routers[router].apply_load_report(server, load, now_ms);
+            let speed = self.reported_speed(server);
+            self.routers[router].apply_load_report(server, load, speed, now_ms);
+        }
+    }
+
+    /// Time factor of an engine in percent, if responses report it.
+    fn reported_speed(&self, engine: usize) -> Option<u32> {
+        let factor = self.engines[engine].spec().time_factor;
+        let percent = (factor * 100.0) as u32;
+        Some(percent).filter(|_| self.scenario.reports_speed)
+    }
+
+    /// Moves each engine's time factor on to the next engine.
+    fn shift_time_factors(&mut self, shifts: u64) {
+        let factors = &self.scenario.time_factors;
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            engine.set_time_factor(factors[(index + shifts as usize) % factors.len()]);
         }
     }
 
--- a/model/src/router.rs
+++ b/model/src/router.rs
@@ -3,7 +3,8 @@
 use indexmap::IndexMap;
 use jujubeusher::decide::fleet_counts::{Counts, FleetCounts};
 use jujubeusher::decide::load::{Report, ServerLoad};
-use jujubeusher::decide::placement::{AtCapacity, PromptDemand, Server, place};
+use jujubeusher::decide::offers::Offers;
+use jujubeusher::decide::placement::{AtCapacity, COUNTS_AGE_MS, PromptDemand, Server, place};
 use jujubeusher::decide::rendezvous::score;
 use jujubeusher::ids::{Incarnation, ServerId};
 
@@ -20,6 +21,7 @@
     peer_counts: IndexMap<usize, u32>,
     in_flight_by_prompt: IndexMap<u64, u32>,
     router_count: usize,
+    offers: Offers,
     /// Counts received over the router's links.
     pub fleet_counts: FleetCounts,
 }
@@ -33,19 +35,21 @@
             peer_counts: IndexMap::new(),
             in_flight_by_prompt: IndexMap::new(),
             router_count: routers,
+            offers: Offers::default(),
             fleet_counts: FleetCounts::default(),
         }
     }
 
     /// Chooses a server for a request among those not yet tried; `None` refuses the request.
     pub fn choose_server(
-        &self,
+        &mut self,
         policy: Policy,
         prompt: u64,
         tried: &[usize],
         draw: u64,
         now_ms: u64,
     ) -> Option<usize> {
+        self.offers.record_offer(now_ms);
         let candidates = (0..self.servers.len()).filter(|server| !tried.contains(server));
         let servers: Vec<Server> = candidates
             .map(|server| self.estimated_load(server, now_ms))
@@ -54,10 +58,12 @@
         let first = match policy {
             Policy::Deployed => place_first(
                 &servers,
-                Some(self.prompt_demand(prompt, self.router_count)),
+                Some(self.prompt_demand(prompt, self.router_count, now_ms)),
                 draw,
             ),
-            Policy::Unspread => place_first(&servers, Some(self.prompt_demand(prompt, 0)), draw),
+            Policy::Unspread => {
+                place_first(&servers, Some(self.prompt_demand(prompt, 0, now_ms)), draw)
+            }
             Policy::TwoChoices => place_first(&servers, None, draw),
             Policy::Prompt => {
                 let best = servers.iter().max_by(|a, b| rank(a).total_cmp(&rank(b)));
@@ -70,7 +76,7 @@
         self.servers.iter().position(|(id, _)| *id == first)
     }
 
-    fn prompt_demand(&self, shared_hash: u64, routers: usize) -> PromptDemand {
+    fn prompt_demand(&self, shared_hash: u64, routers: usize, now_ms: u64) -> PromptDemand {
         PromptDemand {
             shared_hash,
             own_in_flight: self
@@ -79,6 +85,7 @@
                 .copied()
                 .unwrap_or(0),
             routers,
+            offers: self.offers.recent(COUNTS_AGE_MS, now_ms),
         }
     }
 
@@ -92,6 +99,7 @@
     pub fn record_sent(&mut self, server: usize, prompt: u64, now_ms: u64) {
         *self.in_flight_by_prompt.entry(prompt).or_default() += 1;
         self.loads[server].start(now_ms);
+        self.offers.record_placed(now_ms);
     }
 
     /// Records that a request at a server has ended.
@@ -103,7 +111,16 @@
     }
 
     /// Applies the load that a server reports with a response.
-    pub fn apply_load_report(&mut self, server: usize, load: u32, now_ms: u64) {
+    pub fn apply_load_report(
+        &mut self,
+        server: usize,
+        load: u32,
+        speed_percent: Option<u32>,
+        now_ms: u64,
+    ) {
+        if let Some(percent) = speed_percent {
+            self.loads[server].record_speed(percent, now_ms);
+        }
         self.loads[server].apply_report(Report {
             incarnation: Incarnation(1),
             held: load,
--- a/model/src/scenario.rs
+++ b/model/src/scenario.rs
@@ -47,6 +47,10 @@
     pub engine: EngineSpec,
     /// Time factors, assigned to the engines in rotation.
     pub time_factors: Vec<f64>,
+    /// Interval at which the time factors move on to the next engine; 0 if they stay.
+    pub time_factor_shift_ms: u64,
+    /// Whether responses report the engine's time factor.
+    pub reports_speed: bool,
     /// Age of the load that a response reports.
     pub report_lag_ms: u64,
     /// Kinds of request and their usual rates.
@@ -104,6 +108,8 @@
             time_factor: 1.0,
         },
         time_factors: vec![1.0],
+        time_factor_shift_ms: 0,
+        reports_speed: false,
         report_lag_ms: 200,
         kinds: kinds([13.0, 21.5, 18.9], [1_000, 500, 500], [385, 294, 21], 0.0).to_vec(),
         burst,
@@ -128,6 +134,8 @@
             time_factor: 1.0,
         },
         time_factors: vec![1.0, 1.0, 1.3],
+        time_factor_shift_ms: 0,
+        reports_speed: false,
         report_lag_ms: 100,
         kinds: kinds([217.0, 255.0, 356.0], [800, 400, 500], [380, 290, 20], 0.0).to_vec(),
         burst,
@@ -164,6 +172,8 @@
             time_factor: 1.0,
         },
         time_factors: vec![1.0],
+        time_factor_shift_ms: 0,
+        reports_speed: false,
         report_lag_ms: 0,
         kinds: vec![label, verdict, report],
         burst,
@@ -197,6 +207,8 @@
             time_factor: 1.0,
         },
         time_factors: vec![1.0],
+        time_factor_shift_ms: 0,
+        reports_speed: false,
         report_lag_ms: 0,
         kinds: vec![summary, code, check],
         burst,
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -92,6 +92,12 @@
         self.with_entry(server, |entry| entry.load.apply_report(report))
     }
 
+    /// Records how long work takes on a server's host, in percent of the usual time.
+    pub fn record_speed(&self, server: &ServerId, percent: u32) {
+        let now_ms = self.clock.monotonic_ms();
+        self.with_entry(server, |entry| entry.load.record_speed(percent, now_ms));
+    }
+
     /// Sets another router's number of requests in flight on a server.
     pub fn set_peer_requests(&self, router: &RouterId, server: &ServerId, count: u32) {
         let at_ms = self.clock.monotonic_ms().saturating_sub(PEER_COUNT_AGE_MS);
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -18,6 +18,20 @@
 const COUNTS_MIN_SHARE: f64 = 0.5;
 /// Time resolution in ms at which starts and finishes are recorded.
 const BUCKET_MS: u64 = 50;
+/// Speed of a host that no other work slows down, in percent of the usual time.
+const SPEED_USUAL_PERCENT: f64 = 100.0;
+/// Highest speed that is used. A server that reports more still gets a tenth of its requests, from
+/// whose responses its speed is learned.
+const SPEED_MAX_PERCENT: f64 = 1_000.0;
+/// Time constant in ms with which reported speeds are averaged: they change many times a second, and
+/// requests run for a second or two.
+const SPEED_AVERAGING_MS: f64 = 1_000.0;
+/// Highest weight of one reported speed in the average. A single value shows a short moment only,
+/// however long ago the one before it was.
+const SPEED_WEIGHT_MAX: f64 = 0.5;
+/// Time constant in ms with which the average approaches the usual speed without reports. A router
+/// of a large fleet gets a response of each server every 3 to 20 s.
+const SPEED_KEEP_MS: f64 = 10_000.0;
 
 /// A server's own count of its requests at one point in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +61,21 @@
     net: i32,
 }
 
+/// Average of the speeds that a server reported.
+#[derive(Debug, Clone, Copy)]
+struct Speed {
+    percent: f64,
+    as_of_ms: u64,
+}
+
+impl Speed {
+    fn percent(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.as_of_ms) as f64;
+        let kept = (-age_ms / SPEED_KEEP_MS).exp();
+        SPEED_USUAL_PERCENT + (self.percent - SPEED_USUAL_PERCENT) * kept
+    }
+}
+
 /// The last report of one server, and the requests on it that this router knows of.
 #[derive(Debug, Clone, Default)]
 pub struct ServerLoad {
@@ -54,6 +83,7 @@
     own: u32,
     others: u32,
     buckets: VecDeque<Bucket>,
+    speed: Option<Speed>,
 }
 
 impl ServerLoad {
@@ -114,6 +144,30 @@
         is_newer
     }
 
+    /// Records how long work takes on the server's host, in percent of the usual time.
+    ///
+    /// ```
+    /// use jujubeusher::decide::load::ServerLoad;
+    /// let mut load = ServerLoad::default();
+    /// assert_eq!(load.view(0).slowdown(), 1.0);
+    /// for at_ms in (0..5_000).step_by(100) {
+    ///     load.record_speed(200, at_ms);
+    /// }
+    /// assert!((1.9..=2.0).contains(&load.view(5_000).slowdown()));
+    /// ```
+    pub fn record_speed(&mut self, percent: u32, now_ms: u64) {
+        let reported = f64::from(percent).min(SPEED_MAX_PERCENT);
+        let (known, elapsed_ms) = match &self.speed {
+            Some(speed) => (speed.percent(now_ms), now_ms.saturating_sub(speed.as_of_ms)),
+            None => (SPEED_USUAL_PERCENT, u64::MAX),
+        };
+        let weight = 1.0 - (-(elapsed_ms as f64) / SPEED_AVERAGING_MS).exp();
+        self.speed = Some(Speed {
+            percent: known + (reported - known) * weight.min(SPEED_WEIGHT_MAX),
+            as_of_ms: now_ms,
+        });
+    }
+
     /// The last report, however old.
     pub fn last_report(&self) -> Option<Report> {
         self.report
@@ -158,6 +212,8 @@
             held: fresh.map(|r| r.held),
             net: fresh.map_or(0, |r| self.net_since(r.as_of_ms)),
             known: self.known_in_flight(),
+            own: self.own,
+            speed_percent: self.speed.map(|s| s.percent(now_ms).round() as u32),
         }
     }
 }
@@ -171,9 +227,23 @@
     pub net: i64,
     /// Known requests in flight on the server.
     pub known: u32,
+    /// Requests of this router among them.
+    #[serde(default)]
+    pub own: u32,
+    /// How long work takes on the server's host, averaged, in percent of the usual time; `None` if
+    /// the server does not report it.
+    #[serde(default)]
+    pub speed_percent: Option<u32>,
 }
 
 impl LoadView {
+    /// Factor by which work on the server's host takes longer than usual, at least 1: a faster host
+    /// has no more slots.
+    pub fn slowdown(&self) -> f64 {
+        let percent = self.speed_percent.map_or(SPEED_USUAL_PERCENT, f64::from);
+        percent.max(SPEED_USUAL_PERCENT) / SPEED_USUAL_PERCENT
+    }
+
     /// Estimated number of requests that a server with `slots` slots now runs or queues.
     ///
     /// Without a recent report the estimate is based on the fleet's mean.
@@ -181,7 +251,7 @@
     /// ```
     /// use jujubeusher::decide::load::{FleetEstimate, LoadView};
     /// let fleet = FleetEstimate { known_share: 0.5, mean_per_slot: 0.5 };
-    /// let view = LoadView { held: Some(10), net: 3, known: 4 };
+    /// let view = LoadView { held: Some(10), net: 3, known: 4, ..LoadView::default() };
     /// assert_eq!(view.estimate(32, &fleet), 14.0);
     /// ```
     pub fn estimate(&self, slots: u32, fleet: &FleetEstimate) -> f64 {
--- a/src/decide/load/tests.rs
+++ b/src/decide/load/tests.rs
@@ -93,3 +93,52 @@
     }
     assert!(load.buckets.len() as u64 <= STALE_MS / BUCKET_MS + 1);
 }
+
+/// Guards against placements that follow a single value of a speed that changes many times a second.
+#[test]
+fn slowdown_changing_speed_is_averaged() {
+    let mut load = ServerLoad::default();
+    for (index, at_ms) in (0..5_000).step_by(50).enumerate() {
+        load.record_speed([100, 300][index % 2], at_ms);
+    }
+    let slowdown = load.view(5_000).slowdown();
+    assert!((1.8..2.2).contains(&slowdown), "{slowdown}");
+    load.record_speed(1_000, 5_010);
+    assert!(load.view(5_010).slowdown() < 1.3 * slowdown);
+}
+
+/// Guards against a server that seems slow long after its last response, and so gets none that would
+/// show that it is fast again.
+#[test]
+fn slowdown_old_speed_loses_weight() {
+    let mut load = ServerLoad::default();
+    for at_ms in (0..3_000).step_by(100) {
+        load.record_speed(400, at_ms);
+    }
+    let [now, later, end] = [3_000, 13_000, 60_000].map(|at_ms| load.view(at_ms).slowdown());
+    assert!(
+        now > 3.5 && later < 2.5 && end < 1.05,
+        "{now} {later} {end}"
+    );
+}
+
+/// Guards against a server without the field that is placed differently, and against one that is
+/// given more than its slots because it is fast.
+#[test]
+fn slowdown_unknown_or_fast_is_one() {
+    let mut load = ServerLoad::default();
+    assert_eq!(load.view(0).slowdown(), 1.0);
+    assert_eq!(load.view(0).speed_percent, None);
+    load.record_speed(50, 0);
+    assert_eq!(load.view(0).slowdown(), 1.0);
+}
+
+/// Guards against an absurd value that keeps all requests from a server.
+#[test]
+fn slowdown_is_bounded() {
+    let mut load = ServerLoad::default();
+    for at_ms in 0..10_000 {
+        load.record_speed(u32::MAX, at_ms);
+    }
+    assert!(load.view(10_000).slowdown() <= 10.0);
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod load;
 pub mod membership;
+pub mod offers;
 pub mod orders;
 pub mod overlay;
 pub mod overload;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::choose::{Bounds, Candidate, PlacementRequest, Policy, rank_candidates};
 use crate::decide::load::{LoadView, estimate_fleet};
+use crate::decide::offers::RecentOffers;
 use crate::ids::{ChatId, ServerId};
 
 /// Estimated loads, as multiples of the mean, up to which a server gets prompts. If a prompt goes
@@ -37,7 +38,7 @@
 }
 
 /// Identity of the shared parts of a request's prompt, and the current demand for them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PromptDemand {
     /// Hash that identifies the shared parts.
     pub shared_hash: u64,
@@ -45,6 +46,8 @@
     pub own_in_flight: u32,
     /// Number of routers that share the traffic.
     pub routers: usize,
+    /// Requests that this router offered to the servers of the service within [`COUNTS_AGE_MS`].
+    pub offers: RecentOffers,
 }
 
 impl PromptDemand {
@@ -113,7 +116,7 @@
 /// use jujubeusher::decide::load::LoadView;
 /// use jujubeusher::decide::placement::{AtCapacity, Server, place};
 /// use jujubeusher::ids::ServerId;
-/// let view = LoadView { held: Some(4), net: 0, known: 4 };
+/// let view = LoadView { held: Some(4), net: 0, known: 4, ..LoadView::default() };
 /// let server = Server { id: ServerId::from("a"), slots: 4, view };
 /// assert_eq!(place(&[server.clone()], None, 0), Err(AtCapacity));
 /// let free = Server { slots: 8, ..server };
@@ -142,7 +145,7 @@
         // The reports of other servers must not make a server without a report look full.
         let load = match server.view.held {
             Some(_) => candidate.load,
-            None => f64::from(server.view.known),
+            None => f64::from(server.view.known) * server.view.slowdown(),
         };
         load < full_per_slot * f64::from(candidate.slots)
     };
@@ -151,24 +154,80 @@
     if open.is_empty() && !servers.is_empty() {
         return Err(AtCapacity);
     }
-    let (policy, key) = match prompt {
-        Some(prompt) => {
-            let key = prompt.rendezvous_key(mean_load, servers.len(), draw);
-            (Policy::RendezvousSpread, key)
-        }
-        None => (Policy::TwoChoices, 0),
+    let rank = |policy, key, open: &[Candidate<'_>]| {
+        let request = PlacementRequest {
+            chat: ChatId(key),
+            home: None,
+            is_new: false,
+        };
+        rank_candidates(policy, &request, open, &BOUNDS, draw)
     };
-    let request = PlacementRequest {
-        chat: ChatId(key),
-        home: None,
-        is_new: false,
+    let Some(prompt) = prompt else {
+        return Ok(rank(Policy::TwoChoices, 0, &open));
     };
-    Ok(rank_candidates(policy, &request, &open, &BOUNDS, draw))
+    let unseen = UnseenStarts::estimate(servers, &prompt.offers);
+    let open = unseen.retain_with_room(full_per_slot, open, draw)?;
+    let key = prompt.rendezvous_key(mean_load, servers.len(), draw);
+    Ok(rank(Policy::RendezvousSpread, key, &open))
+}
+
+/// Private draw of this router for this request, from 0 to 1.
+fn unit_draw(draw: u64, name: &str) -> f64 {
+    (xxh3_64_with_seed(name.as_bytes(), draw) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Requests of other routers that the counts do not show yet, since they are [`COUNTS_AGE_MS`] old.
+struct UnseenStarts {
+    /// Expected number on all servers together.
+    total: f64,
+    /// Share of the requests in flight that are expected to have ended within that time.
+    ended_share: f64,
+}
+
+impl UnseenStarts {
+    /// The other routers are expected to offer as many requests as this one for each request that
+    /// they have in flight.
+    fn estimate(servers: &[Server], offers: &RecentOffers) -> Self {
+        let own: f64 = servers.iter().map(|s| f64::from(s.view.own)).sum();
+        let known: f64 = servers.iter().map(|s| f64::from(s.view.known)).sum();
+        // One request is added, so that a router that has none yet expects no infinite traffic.
+        Self {
+            total: offers.offered * (known - own).max(0.0) / (own + 1.0),
+            ended_share: (offers.placed / (own + 1.0)).min(1.0),
+        }
+    }
+
+    /// Leaves out servers that the other routers have probably filled since they were counted. If
+    /// more requests are expected than all servers have room for, this one is placed with the
+    /// probability at which the requests of all routers just fill them.
+    fn retain_with_room<'a>(
+        &self,
+        full_per_slot: f64,
+        open: Vec<Candidate<'a>>,
+        draw: u64,
+    ) -> Result<Vec<Candidate<'a>>, AtCapacity> {
+        let room = |c: &Candidate<'_>| {
+            full_per_slot * f64::from(c.slots) - c.load * (1.0 - self.ended_share)
+        };
+        let total_room: f64 = open.iter().map(room).sum();
+        if unit_draw(draw, "admission") * self.total > total_room {
+            return Err(AtCapacity);
+        }
+        let per_server = self.total.min(total_room) / open.len().max(1) as f64;
+        let has_room = |c: &Candidate<'_>| {
+            room(c) >= per_server || unit_draw(draw, c.id.as_str()) * per_server <= room(c)
+        };
+        let (retained, others): (Vec<_>, Vec<_>) = open.into_iter().partition(has_room);
+        Ok(match retained.is_empty() {
+            true => others,
+            false => retained,
+        })
+    }
 }
 
-/// Mean age of the counts of other routers when a request is placed: half a period each until they
-/// are sent, reach the other seeds and come back.
-const COUNTS_AGE_MS: f64 = 400.0;
+/// Mean age in ms of the counts of other routers when a request is placed: half a period each until
+/// they are sent, reach the other seeds and come back.
+pub const COUNTS_AGE_MS: f64 = 400.0;
 
 /// Share of the counted requests that must still run for their number to show whether a server is full.
 const STILL_RUNNING_MIN: f64 = 0.5;
@@ -210,10 +269,10 @@
     let fleet = estimate_fleet(servers.iter().map(|server| (server.view, server.slots)));
     let has_reports = servers.iter().any(|server| server.view.held.is_some());
     let load = |server: &Server| match has_reports {
-        true => server.view.estimate(server.slots, &fleet),
+        true => server.view.estimate(server.slots, &fleet) * server.view.slowdown(),
         // Without any report the requests of other routers cannot be estimated, so only the known
         // requests count.
-        false => f64::from(server.view.known),
+        false => f64::from(server.view.known) * server.view.slowdown(),
     };
     let candidates = servers.iter().map(|server| Candidate {
         id: &server.id,
--- a/src/decide/placement/tests.rs
+++ b/src/decide/placement/tests.rs
@@ -15,6 +15,7 @@
             held: Some(held),
             net: 0,
             known: held,
+            ..LoadView::default()
         },
     }
 }
@@ -25,6 +26,7 @@
         shared_hash,
         own_in_flight: 0,
         routers: 7,
+        offers: RecentOffers::default(),
     }
 }
 
@@ -188,6 +190,7 @@
                 held: None,
                 net: 0,
                 known: *known,
+                ..LoadView::default()
             },
             ..server(name, 0)
         };
@@ -253,3 +256,67 @@
     prefer_limited(&mut ordered, &IndexSet::from([ServerId::from("c")]));
     assert_eq!(ordered, ids(["c", "a", "b"]));
 }
+
+/// Guards against a server on a slowed host that gets as many requests as the others: it holds half
+/// as many at twice the time for its work.
+#[test]
+fn place_slow_host_carries_half() {
+    let mut held = [0; 4];
+    for hash in 0..32 {
+        let mut servers: Vec<Server> = (0..4).map(|name| server(name, held[name])).collect();
+        servers[0].view.speed_percent = Some(200);
+        let first = place(&servers, Some(prompt(hash * 7_919)), 0).unwrap()[0].clone();
+        let chosen = servers.iter().position(|s| s.id == first).unwrap();
+        held[chosen] += 1;
+    }
+    assert!(held[0] <= 8, "{held:?}");
+    let mut servers: Vec<Server> = (0..2).map(|name| server(name, SLOTS / 2)).collect();
+    servers[0].view.speed_percent = Some(200);
+    let order = place(&servers, Some(prompt(1)), 0).unwrap();
+    assert_eq!(
+        order,
+        [servers[1].id.clone()],
+        "half the slots fill a slow server"
+    );
+}
+
+/// Servers of which the other routers hold `known - own` requests, and a prompt of a router that
+/// offers `offered` requests while the counts are late.
+fn share_placed(known: u32, own: u32, offered: f64) -> f64 {
+    let mut servers: Vec<Server> = (0..9).map(|name| server(name, known)).collect();
+    for server in &mut servers {
+        server.view.own = own;
+    }
+    let placed = |draw: &u64| {
+        let demand = PromptDemand {
+            offers: RecentOffers {
+                offered,
+                placed: 0.0,
+            },
+            ..prompt(*draw)
+        };
+        place(&servers, Some(demand), *draw).is_ok()
+    };
+    (0..1_000).filter(placed).count() as f64 / 1_000.0
+}
+
+/// Guards against all routers sending to the last free slots within the delay of the counts: at five
+/// times the traffic of fleet A the engines then held 70 requests on average, with 32 slots.
+#[test]
+fn place_unseen_starts_fill_the_free_slots_only() {
+    // 18 slots are free, and the others are expected to offer 100 x 135 / 10 requests.
+    let share = share_placed(SLOTS - 2, 1, 10.0);
+    let expected = 18.0 / (10.0 * 9.0 * 13.0 / 10.0);
+    assert!((share - expected).abs() < 0.05, "{share} and {expected}");
+    assert_eq!(
+        share_placed(SLOTS / 2, 1, 1.0),
+        1.0,
+        "usual traffic is refused"
+    );
+}
+
+/// Guards against refusals where all traffic enters at one router, which knows every request.
+#[test]
+fn place_single_router_uses_all_slots() {
+    assert_eq!(share_placed(SLOTS - 1, SLOTS - 1, 50.0), 1.0);
+}
--- a/src/decide/trace/tests.rs
+++ b/src/decide/trace/tests.rs
@@ -8,6 +8,7 @@
             held: Some(held),
             net: 0,
             known: 1,
+            ..LoadView::default()
         },
     };
     let line = Line::Choose(Choose {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -396,6 +396,9 @@
         as_of_ms: state.now_ms(),
     };
     state.load.apply_report(&server.id, report);
+    if let Some(percent) = load.speed_percent {
+        state.load.record_speed(&server.id, percent);
+    }
 }
 
 /// Reads a whole body; calls `on_data` whenever a part of it arrives.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet_totals;
 pub mod freshness;
 pub mod mirror;
+pub mod offers;
 pub mod placement;
 pub mod prompts_in_flight;
 pub mod protocol;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -78,13 +78,16 @@
         let own = servers.iter().map(|s| state.load.own_requests(&s.id));
         smooth_counts(&mut candidates, &own.collect::<Vec<_>>(), run_ms);
     }
+    let offers = state.offers.record_offer(&routed.service, now_ms);
     let prompt = routed.prompt.map(|prompt| PromptDemand {
         shared_hash: prompt.shared_hash,
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
         routers: state.router_count(),
+        offers,
     });
     let placed = place(&candidates, prompt, rand::rng().random());
     let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
+    state.offers.record_placed(&routed.service, now_ms);
     let shared_tokens = routed.prompt.map_or(0, |prompt| prompt.shared_tokens);
     let is_light = state.record_prompt_size(&routed.service, shared_tokens);
     if is_light {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -80,6 +80,9 @@
     pub waiting: u32,
     /// Number of requests that can run concurrently.
     pub slots: u32,
+    /// How long work takes on the server's host, in percent of the usual time; `None` if it is not
+    /// reported.
+    pub speed_percent: Option<u32>,
 }
 
 /// What a response says of a limit on the requests that its server takes.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use crate::gateway::crash::CrashProbes;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
 use crate::gateway::freshness::Freshness;
+use crate::gateway::offers::ServiceOffers;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::reachability::Reachability;
@@ -89,6 +90,8 @@
     pub pool: Pool,
     /// Estimated load of backend servers.
     pub load: LoadTable,
+    /// How often this router searches for a server, by service.
+    pub offers: ServiceOffers,
     /// Number of this router's requests in flight, by shared prompt parts.
     pub prompts_in_flight: PromptsInFlight,
     /// Bound on the memory of all responses that are being received.
@@ -163,6 +166,7 @@
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
+            offers: ServiceOffers::default(),
             caller_timeouts: CallerTimeouts::default(),
             prompts_in_flight: PromptsInFlight::default(),
             clock,
@@ -419,6 +423,7 @@
                     "limit_per_s": self.reachability.limit_per_s(server, now_ms),
                     "own_requests": self.load.own_requests(&server.id),
                     "known_requests": self.load.view(&server.id).known,
+                    "speed_percent": self.load.view(&server.id).speed_percent,
                     "load_age_ms": self.load.age_ms(&server.id),
                     "known_for_ms": registry.known_for_ms(&server.id, now_ms),
                 })
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -91,6 +91,7 @@
     arrivals: Vec<Instant>,
     is_leaving: bool,
     limit: Option<String>,
+    load: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
@@ -235,6 +236,11 @@
         self.state.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sets the load report in its successful responses, with or without a speed; none at first.
+    pub fn set_load(&self, load: Option<&str>) {
+        self.state.lock().load = load.map(str::to_owned);
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -278,14 +284,18 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
-    let (is_leaving, limit) = {
+    let (is_leaving, limit, load) = {
         let state = state.lock();
-        (state.is_leaving, state.limit.clone())
+        (state.is_leaving, state.limit.clone(), state.load.clone())
     };
     let response = match is_leaving {
         true => with_header(response, "server-leaving", "1"),
         false => response,
     };
+    let response = match load.filter(|_| response.status().is_success()) {
+        Some(load) => with_header(response, "x-server-load", &load),
+        None => response,
+    };
     match limit.filter(|_| response.status().is_success()) {
         Some(limit) => with_header(response, "server-limit", &limit),
         None => response,
