--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod membership;
 pub mod memory_budget;
+pub mod offers;
 pub mod orders;
 pub mod overlay;
 pub mod overload;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -430,6 +430,9 @@
         as_of_ms: state.now_ms(),
     };
     state.load.apply_report(&server.id, report);
+    if let Some(percent) = load.speed_percent {
+        state.load.record_speed(&server.id, percent);
+    }
     if report.held < report.slots {
         state.queues.offer_next(&server.service);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,6 +31,7 @@
 use crate::gateway::crash::CrashProbes;
 use crate::gateway::fleet_totals::{AppliedCounts, FleetTotals, is_due};
 use crate::gateway::freshness::Freshness;
+use crate::gateway::offers::ServiceOffers;
 use crate::gateway::prompts_in_flight::PromptsInFlight;
 use crate::gateway::protocol::{BackendProtocol, CallerProtocol};
 use crate::gateway::queue::Queues;
@@ -101,6 +102,8 @@
     pub pool: Pool,
     /// Estimated load of backend servers.
     pub load: LoadTable,
+    /// How often this router searches for a server, by service.
+    pub offers: ServiceOffers,
     /// Number of this router's requests in flight, by shared prompt parts.
     pub prompts_in_flight: PromptsInFlight,
     /// Memory of all request bodies and responses.
@@ -185,6 +188,7 @@
             settings: RwLock::new(Arc::new(settings)),
             runtime,
             load: LoadTable::new(Arc::clone(&clock)),
+            offers: ServiceOffers::default(),
             caller_timeouts: CallerTimeouts::default(),
             prompts_in_flight: PromptsInFlight::default(),
             clock,
--- a/src/gateway/state/dump.rs
+++ b/src/gateway/state/dump.rs
@@ -41,6 +41,7 @@
                     "limit_per_s": self.reachability.limit_per_s(server, now_ms),
                     "own_requests": self.load.own_requests(&server.id),
                     "known_requests": self.load.view(&server.id).known,
+                    "speed_percent": self.load.view(&server.id).speed_percent,
                     "load_age_ms": self.load.age_ms(&server.id),
                     "known_for_ms": registry.known_for_ms(&server.id, now_ms),
                 })
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -93,6 +93,7 @@
     is_leaving: bool,
     limit: Option<String>,
     cold_ms: Option<String>,
+    load: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
     crashes: usize,
     run_time: Duration,
@@ -249,6 +250,11 @@
         self.state.lock().places.set(slots, queue, reports_load);
     }
 
+    /// Sets the load report in its successful responses, with or without a speed; none at first.
+    pub fn set_load(&self, load: Option<&str>) {
+        self.state.lock().load = load.map(str::to_owned);
+    }
+
     /// Sets how long the server runs each request; 0 at first.
     pub fn set_run_time(&self, run_time: Duration) {
         self.state.lock().run_time = run_time;
@@ -292,12 +298,13 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
-    let (is_leaving, limit, cold_ms, load) = {
+    let (is_leaving, limit, cold_ms, load, places_load) = {
         let state = state.lock();
         (
             state.is_leaving,
             state.limit.clone(),
             state.cold_ms.clone(),
+            state.load.clone(),
             state.places.load(),
         )
     };
@@ -305,7 +312,8 @@
         Some(cold_ms) => with_header(response, "x-cold-ms", &cold_ms),
         None => response,
     };
-    let response = match load {
+    let load = load.filter(|_| response.status().is_success());
+    let response = match places_load.or(load) {
         Some(load) => with_header(response, "x-server-load", &load),
         None => response,
     };
@@ -313,6 +321,10 @@
         true => with_header(response, "server-leaving", "1"),
         false => response,
     };
+    let response = match load.filter(|_| response.status().is_success()) {
+        Some(load) => with_header(response, "x-server-load", &load),
+        None => response,
+    };
     match limit.filter(|_| response.status().is_success()) {
         Some(limit) => with_header(response, "server-limit", &limit),
         None => response,
