--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -321,10 +321,6 @@
         true => with_header(response, "server-leaving", "1"),
         false => response,
     };
-    let response = match load.filter(|_| response.status().is_success()) {
-        Some(load) => with_header(response, "x-server-load", &load),
-        None => response,
-    };
     match limit.filter(|_| response.status().is_success()) {
         Some(limit) => with_header(response, "server-limit", &limit),
         None => response,
