Count each waiting request as one offer, and keep a share of the slots

Cause: the queue seeks a server for the head of the queue many times, and each search counted as a request that the other routers were expected to send too, so that routers refused while servers had room. The learned rate of a service without load reports started from the rate before a burst.

Change: a request is recorded once, when it arrives, and as placed when it is sent. The learned rate is not reduced below seven tenths of what the equal share of the slots completes.

--- a/src/decide/learned_capacity.rs
+++ b/src/decide/learned_capacity.rs
@@ -48,6 +48,9 @@
 const FORGET_DECLINED: f64 = 1.2;
 /// Lowest rate. With it, 86 routers use less than a third of the smallest known service.
 const RATE_MIN_PER_S: f64 = 2.0;
+/// Part of this router's equal share of the servers' slots below which the rate is not reduced: a burst
+/// begins while the measured rate is still that of the time before.
+const SLOTS_SHARE_USED: f64 = 0.7;
 /// A rate this far above what is sent holds nothing back and is given up.
 const UNUSED_FACTOR: f64 = 1.5;
 const UNUSED_PER_S: f64 = 2.0;
@@ -85,6 +88,8 @@
     reduced_ms: u64,
     /// Rate at which a request was declined last.
     declined_per_s: Option<f64>,
+    /// Slots of all servers, divided by the number of routers.
+    slots_share: f64,
 }
 
 /// Number of recent events, in which earlier ones count less.
@@ -155,6 +160,20 @@
         }
     }
 
+    /// Sets this router's equal share of the servers' slots.
+    pub fn set_slots_share(&mut self, slots_share: f64) {
+        self.slots_share = slots_share;
+    }
+
+    /// Rate below which the rate is not reduced: what this router's share of the slots completes with
+    /// the shortest mean run time.
+    fn least_rate(&self) -> f64 {
+        let share_per_s = self.lowest.value_ms().map_or(0.0, |run_ms| {
+            SLOTS_SHARE_USED * self.slots_share * MS_PER_S / run_ms.max(1.0)
+        });
+        share_per_s.max(RATE_MIN_PER_S)
+    }
+
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, now_ms: u64) {
         self.sent.add(now_ms);
@@ -235,7 +254,7 @@
             self.tokens = 1.0;
             self.refilled_ms = now_ms;
         }
-        self.rate_per_s = Some((rate_per_s * factor).max(RATE_MIN_PER_S));
+        self.rate_per_s = Some((rate_per_s * factor).max(self.least_rate()));
     }
 
     /// Raises the rate for one completion, of which `rate` come in a second.
--- a/src/decide/offers.rs
+++ b/src/decide/offers.rs
@@ -15,9 +15,9 @@
 /// are late.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RecentOffers {
-    /// Searches for a server with capacity, whether they found one or not.
+    /// Requests for which a server with capacity was sought, whether there was one or not.
     pub offered: f64,
-    /// Searches among them that found a server.
+    /// Requests that were sent to a server.
     pub placed: f64,
 }
 
@@ -47,17 +47,17 @@
 }
 
 impl Offers {
-    /// Records a search for a server with capacity.
+    /// Records a request for which a server with capacity is sought.
     pub fn record_offer(&mut self, now_ms: u64) {
         self.offered.record(now_ms);
     }
 
-    /// Records that a search found a server.
+    /// Records that a request is sent to a server.
     pub fn record_placed(&mut self, now_ms: u64) {
         self.placed.record(now_ms);
     }
 
-    /// Mean numbers of searches within `span_ms`.
+    /// Mean numbers of requests within `span_ms`.
     ///
     /// ```
     /// use jujubeusher::decide::offers::Offers;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -207,7 +207,7 @@
     let mut server = select()?;
     if history.runs() == 0
         && !reports_load(state, &server)
-        && let Permit::Wait { until_ms } = state.queues.permit(&routed.service)
+        && let Permit::Wait { until_ms } = permit(state, routed)
     {
         return Err(NoServer::RateUsedUp { until_ms });
     }
@@ -222,6 +222,14 @@
     Ok(server)
 }
 
+/// Whether the learned rate of a service without load reports allows a request now.
+fn permit(state: &State, routed: &RoutedRequest) -> Permit {
+    let servers = state.available_servers(&routed.service);
+    let slots: u32 = servers.iter().map(|server| server.slots).sum();
+    let slots_share = f64::from(slots) / state.router_count() as f64;
+    state.queues.permit(&routed.service, slots_share)
+}
+
 /// Whether a server has reported its load; the rates of the others are learned.
 fn reports_load(state: &State, server: &Registration) -> bool {
     state.load.last_report(&server.id).is_some()
@@ -237,6 +245,7 @@
     history.servers.push(server.id.clone());
     history.last_sent_ms = now_ms;
     history.in_progress += 1;
+    state.offers.record_placed(&routed.service, now_ms);
     if !reports_load(state, &server) {
         state.queues.record_sent(&routed.service);
     }
--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -23,6 +23,7 @@
     if !history.servers.is_empty() {
         return next_server(state, routed, history);
     }
+    state.offers.record_offer(&routed.service, state.now_ms());
     let is_behind = state.queues.has_as_urgent(&routed.service, routed.priority);
     let selected = match is_behind {
         true => Err(NoServer::NotSelected(NoSelection::AtCapacity)),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -157,7 +157,7 @@
         let own = servers.iter().map(|s| state.load.own_requests(&s.id));
         smooth_counts(&mut candidates, &own.collect::<Vec<_>>(), run_ms);
     }
-    let offers = state.offers.record_offer(&routed.service, now_ms);
+    let offers = state.offers.recent(&routed.service, now_ms);
     let prompt = routed.prompt.map(|prompt| PromptDemand {
         shared_hash: prompt.shared_hash,
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
@@ -171,7 +171,6 @@
     let draw = rand::rng().random();
     let placed = place_below(full_per_slot, &candidates, prompt, draw);
     let mut ordered = placed.map_err(|AtCapacity| NoSelection::AtCapacity)?;
-    state.offers.record_placed(&routed.service, now_ms);
     if is_light {
         prefer_limited(&mut ordered, &state.reachability.limited(&servers, now_ms));
     }
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -230,10 +230,14 @@
         }
     }
 
-    /// Whether the learned rate allows a request now.
-    pub fn permit(&self, service: &ServiceId) -> Permit {
+    /// Whether the learned rate allows a request now. `slots_share` is the number of the service's slots
+    /// divided by that of the routers.
+    pub fn permit(&self, service: &ServiceId, slots_share: f64) -> Permit {
         let now_ms = self.now_ms();
-        self.with_service(service, |known| known.capacity.permit(now_ms))
+        self.with_service(service, |known| {
+            known.capacity.set_slots_share(slots_share);
+            known.capacity.permit(now_ms)
+        })
     }
 
     /// Records that a request is sent to a server of a service.
