Let a waiting request take the place that one of its router has left

Cause: a waiting request was admitted with the probability at which all routers together fill the room that is left. With less than one half, each placement led to less than one further offer, so that the requests in flight of a router shrank while its queue was full.

Change: the place of a request of this router that has just ended is not one that other routers count on, and is taken without that draw.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -245,6 +245,7 @@
     history.servers.push(server.id.clone());
     history.last_sent_ms = now_ms;
     history.in_progress += 1;
+    history.has_own_place = false;
     state.offers.record_placed(&routed.service, now_ms);
     if !reports_load(state, &server) {
         state.queues.record_sent(&routed.service);
--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -74,7 +74,10 @@
         let outcome = match woken {
             _ if state.is_stopping() => Some(Outcome::Stopping),
             Woken::TimedOut => Some(Outcome::TimedOut),
-            Woken::Offered => None,
+            Woken::Offered { is_own_place } => {
+                history.has_own_place = is_own_place;
+                None
+            }
         };
         if let Some(outcome) = outcome {
             history.queue_ms += place.leave(outcome);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 
 use crate::decide::capacity::{Availability, Hold, HoldReason};
+use crate::decide::offers::RecentOffers;
 use crate::decide::placement::{
     AtCapacity, FULL_PER_SLOT, PromptDemand, Server, place_below, prefer_limited, smooth_counts,
 };
@@ -74,7 +75,7 @@
     for (servers, may_use) in [(warm, true), (cold, may_use_cold)] {
         if selected.is_err() && may_use && !servers.is_empty() {
             let servers = servers.into_iter().map(|(server, _)| server).collect();
-            selected = select_among(state, routed, servers, is_light);
+            selected = select_among(state, routed, history, servers, is_light);
         }
     }
     selected
@@ -141,6 +142,7 @@
 fn select_among(
     state: &State,
     routed: &RoutedRequest,
+    history: &AttemptHistory,
     servers: Vec<Registration>,
     is_light: bool,
 ) -> Result<Registration, NoSelection> {
@@ -157,7 +159,10 @@
         let own = servers.iter().map(|s| state.load.own_requests(&s.id));
         smooth_counts(&mut candidates, &own.collect::<Vec<_>>(), run_ms);
     }
-    let offers = state.offers.recent(&routed.service, now_ms);
+    let offers = match history.has_own_place {
+        true => RecentOffers::default(),
+        false => state.offers.recent(&routed.service, now_ms),
+    };
     let prompt = routed.prompt.map(|prompt| PromptDemand {
         shared_hash: prompt.shared_hash,
         own_in_flight: state.prompts_in_flight.count(prompt.shared_hash),
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -49,6 +49,8 @@
     sender: Sender<()>,
     /// Whether it was offered a place and has not selected a server since.
     is_offered: bool,
+    /// Whether that place is one that a request of this router has left.
+    is_own_place: bool,
 }
 
 impl ServiceQueue {
@@ -64,7 +66,7 @@
 
     /// Wakes the next request. One that has not yet selected a server since its last offer uses this
     /// place too, and then offers the next.
-    fn offer_next(&mut self, now_ms: u64) {
+    fn offer_next(&mut self, is_own_place: bool, now_ms: u64) {
         let Some(ticket) = self.queue.next(now_ms) else {
             self.last_offered = None;
             return;
@@ -72,6 +74,7 @@
         self.last_offered = Some(ticket);
         if let Some(waker) = self.wakers.get_mut(&ticket) {
             waker.is_offered = true;
+            waker.is_own_place |= is_own_place;
             // It fails if the request was woken before, or is being dropped.
             let _ = waker.sender.try_send(());
         }
@@ -81,8 +84,9 @@
 /// Why a waiting request was woken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Woken {
-    /// It is to select a server.
-    Offered,
+    /// It is to select a server. A place that a request of this router has left is not one that other
+    /// routers count on.
+    Offered { is_own_place: bool },
     /// It has waited as long as it may.
     TimedOut,
 }
@@ -136,7 +140,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         if let Some(shared) = self.shared.upgrade() {
-            Queues(shared).offer_next(&self.service);
+            Queues(shared).offer_own_place(&self.service);
         }
     }
 }
@@ -184,6 +188,7 @@
             let waker = Waker {
                 sender,
                 is_offered: false,
+                is_own_place: false,
             };
             known.wakers.insert(ticket, waker);
             if known.last_offered.is_none() {
@@ -209,7 +214,15 @@
     pub fn offer_next(&self, service: &ServiceId) {
         let now_ms = self.now_ms();
         if let Some(known) = self.0.services.lock().get_mut(service) {
-            known.offer_next(now_ms);
+            known.offer_next(false, now_ms);
+        }
+    }
+
+    /// Offers the place that a request of this router has left.
+    fn offer_own_place(&self, service: &ServiceId) {
+        let now_ms = self.now_ms();
+        if let Some(known) = self.0.services.lock().get_mut(service) {
+            known.offer_next(true, now_ms);
         }
     }
 
@@ -359,7 +372,9 @@
             };
             let woken = async { self.receiver.recv().await.is_ok() };
             if woken.or(timer).await {
-                return Woken::Offered;
+                return Woken::Offered {
+                    is_own_place: self.take_own_place(),
+                };
             }
             if is_last_offered {
                 self.state.queues.offer_next(&self.service);
@@ -367,6 +382,14 @@
         }
     }
 
+    /// Whether the offer is of a place that a request of this router has left; true once.
+    fn take_own_place(&self) -> bool {
+        self.state.queues.with_service(&self.service, |known| {
+            let waker = known.wakers.get_mut(&self.ticket);
+            waker.is_some_and(|waker| std::mem::take(&mut waker.is_own_place))
+        })
+    }
+
     /// Records that no server was selected after an offer.
     pub fn decline_offer(&self) {
         self.state.queues.with_service(&self.service, |known| {
@@ -396,8 +419,10 @@
             known.queue.remove(self.ticket);
             let waker = known.wakers.swap_remove(&self.ticket);
             // A place that it was offered is for the next one, as is one more after a placement.
-            if known.last_offered == Some(self.ticket) || waker.is_some_and(|w| w.is_offered) {
-                known.offer_next(now_ms);
+            let is_own_place = waker.as_ref().is_some_and(|waker| waker.is_own_place);
+            let is_offered = waker.is_some_and(|waker| waker.is_offered);
+            if known.last_offered == Some(self.ticket) || is_offered {
+                known.offer_next(is_own_place, now_ms);
             }
         });
         let waited_ms = now_ms.saturating_sub(self.entered_ms);
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -74,6 +74,9 @@
     /// Servers that did not run an attempt since they had asked for a pause, after which they may be
     /// tried again.
     pub paused: Vec<ServerId>,
+    /// Whether the next attempt takes the place that a request of this router has left. Other routers
+    /// do not count on that place.
+    pub has_own_place: bool,
     /// Number of attempts whose server may have run the request.
     pub possible_runs: u32,
     /// Number of attempts that were delivered to a server.
