Allowances: forget old terms and uncollected units

A router's own terms of a limit held for as long as other routers asked for it, so that a raised limit kept the lower rate. Units for a router to which no link is open were kept for good. A configured rate close to 0 overflowed the time of the first unit.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -103,6 +103,7 @@
             period_us: (period_ms * MS_PER_S).ceil() as u64,
             valid_ms: (valid_ms as u64).saturating_sub(HOLD_MS + TRANSIT_MS),
         }
+        .clamped()
     }
 }
 
@@ -116,7 +117,8 @@
 }
 
 impl Terms {
-    /// The terms, with values that a faulty router may have stated put within sound limits.
+    /// The terms, with values that a faulty router or a faulty configuration may have stated put within
+    /// sound limits.
     fn clamped(self) -> Self {
         Self {
             period_us: self.period_us.clamp(1, PERIOD_MAX_US),
--- a/src/decide/allowance/limit.rs
+++ b/src/decide/allowance/limit.rs
@@ -72,6 +72,8 @@
 pub(super) struct Limit {
     /// Terms as this router derives them; `None` until its own requests ask.
     own_terms: Option<Terms>,
+    /// Time of the last own request that asked.
+    asked_ms: u64,
     own_asked: u32,
     own_rate_per_s: f64,
     folded_ms: u64,
@@ -93,6 +95,7 @@
     pub fn ask(&mut self, terms: Terms, now_ms: u64) {
         self.fold(now_ms);
         self.own_terms = Some(terms);
+        self.asked_ms = now_ms;
         self.own_asked = self.own_asked.saturating_add(1);
         self.used_ms = now_ms;
     }
@@ -145,7 +148,10 @@
 
     fn terms(&self, now_ms: u64) -> Option<Terms> {
         let claims = self.claims.values().filter(|claim| claim.is_fresh(now_ms));
-        let terms = claims.map(|claim| claim.terms).chain(self.own_terms);
+        // Terms of a request from long ago may be those of a limit that has changed since.
+        let is_own_fresh = now_ms < self.asked_ms + IDLE_MS;
+        let own_terms = self.own_terms.filter(|_| is_own_fresh);
+        let terms = claims.map(|claim| claim.terms).chain(own_terms);
         terms.reduce(Terms::strictest)
     }
 
@@ -214,6 +220,7 @@
             return 0;
         };
         self.fold(now_ms);
+        self.expire_granted(now_ms);
         let now_us = now_ms * US_PER_MS;
         // A previous process of this seed may have minted just before this one started.
         let first_us = started_ms * US_PER_MS + terms.period_us;
@@ -245,6 +252,7 @@
         if end_ms <= now_ms {
             return 0;
         }
+        self.expire_granted(now_ms);
         if let Some(last_ms) = self.received_ms {
             let every_ms = now_ms.saturating_sub(last_ms) as f64 / f64::from(units.max(1));
             self.received_every_ms += (every_ms - self.received_every_ms) * FOLD_WEIGHT;
@@ -305,6 +313,14 @@
         std::mem::take(&mut lots.0)
     }
 
+    /// Removes the units of other routers that have ended: nothing takes them while no link to their
+    /// claimant is open.
+    fn expire_granted(&mut self, now_ms: u64) {
+        for lots in self.granted.values_mut() {
+            lots.expire(now_ms);
+        }
+    }
+
     /// Removes the own units that have ended, and returns their number.
     pub fn expire(&mut self, now_ms: u64) -> u64 {
         self.own.expire(now_ms)
--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -277,3 +277,59 @@
         }
     }
 }
+
+/// Guards against a seed that keeps to a limit which was raised, because its own last request saw the
+/// lower one.
+#[test]
+fn grants_for_old_terms_of_own_requests_do_not_hold() {
+    let below = Claimant::Below(1);
+    let raised = announced(25.0);
+    let mut seed = Allowances::new(Role::Seed(1), 1, 0);
+    seed.room(KEY, &announced(0.4), 0);
+    let mut units = 0;
+    for now_ms in (0..20_000).step_by(200) {
+        let demands = vec![Demand {
+            key: KEY,
+            rate_per_s: 25.0,
+            terms: raised.terms(1),
+        }];
+        seed.apply_report(below, &Report { number: 1, demands }, now_ms);
+        let grants = seed.grants_for(below, now_ms);
+        let grants = grants.map_or(Vec::new(), |answer| answer.grants);
+        if now_ms >= 10_000 {
+            units += grants.iter().map(|grant| grant.units).sum::<u32>();
+        }
+    }
+    assert!((245..=255).contains(&units), "{units} units in 10 s");
+}
+
+/// Guards against units that are kept for good for a router to which no link is open.
+#[test]
+fn room_units_that_no_link_takes_are_forgotten() {
+    let bound = announced(900.0);
+    let mut seed = Allowances::new(Role::Seed(1), 1, 0);
+    for now_ms in (0..60_000).step_by(100) {
+        let demands = vec![Demand {
+            key: KEY,
+            rate_per_s: 900.0,
+            terms: bound.terms(1),
+        }];
+        let report = Report { number: 1, demands };
+        seed.apply_report(Claimant::Below(1), &report, now_ms);
+        seed.room(KEY, &bound, now_ms);
+    }
+    let lots = format!("{seed:?}").matches("Lot {").count();
+    assert!(lots <= 200, "{lots} lots");
+}
+
+/// Guards against an overflow from a configured rate that is close to 0.
+#[test]
+fn room_smallest_rate_leaves_no_room() {
+    let bound = Bound {
+        rate_per_s: f64::MIN_POSITIVE,
+        ..COLD
+    };
+    let mut seed = Allowances::new(Role::Seed(1), 1, 1_000);
+    let room = seed.room(KEY, &bound, 2_000);
+    assert!(matches!(room, Room::UsedUp(_)), "{room:?}");
+}
