--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -226,7 +226,8 @@
             (0, None) => {}
             (0, Some(entry)) => {
                 entry.assumed = None;
-                entry.stated = None;
+                // A request sent before may have run on an earlier incarnation of the server.
+                entry.stated = entry.stated.filter(|stated| sent_ms < stated.since_ms);
             }
             (left_ms, _) => {
                 self.record_event(server, ColdCause::Response, now_ms);
--- a/src/decide/cold_start/tests.rs
+++ b/src/decide/cold_start/tests.rs
@@ -82,6 +82,18 @@
     assert_eq!(until_ms(&cold_starts, 2_200), None);
 }
 
+/// Guards against a cold server that counts as warm because a response of its previous incarnation
+/// arrives after its first row.
+#[test]
+fn record_response_to_a_request_from_before_the_row_does_not_end_its_time() {
+    let mut cold_starts = ColdStarts::default();
+    cold_starts.record_joined(&server(), 6_000, 1_000);
+    cold_starts.record_response(&server(), 0, 900, 1_100);
+    assert_eq!(until_ms(&cold_starts, 1_100), Some(7_000));
+    cold_starts.record_response(&server(), 0, 1_050, 1_200);
+    assert_eq!(until_ms(&cold_starts, 1_200), None);
+}
+
 /// Guards against lines that are logged again and again, and against entries that are kept for good.
 #[test]
 fn take_changes_reports_each_change_once_and_forgets_warm_servers() {
