Check units from the time at which they were taken

The hold time was counted from after the request was encoded. A process that was suspended or throttled between the selection of the server and that moment could spend a unit after its end.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,6 +141,8 @@
     pub remaining_ms: u64,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Time, including suspended time, at which the units of the server's limits were taken.
+    pub taken_ms: u64,
     /// Address of the server from which shared prompt parts are fetched.
     pub fetch_source: Option<SocketAddr>,
 }
@@ -175,11 +177,10 @@
     let started_ms = state.now_ms();
     let last_activity = state.reachability.last_activity(&server.id);
     let sending = with_timeout(remaining, {
-        let taken_ms = state.clock.boot_ms();
-        // The unit of the server's limit was taken just before, and may have ended while a connection
+        // The units of the server's limits may have ended while the request was encoded, a connection
         // was opened or the process was paused.
         let has_unit = move || {
-            let held_ms = state.clock.boot_ms().saturating_sub(taken_ms);
+            let held_ms = state.clock.boot_ms().saturating_sub(limits.taken_ms);
             held_ms <= HOLD_MS || state.take_limit(server)
         };
         let may_send = move || state.accepts_requests(server) && has_unit();
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -73,6 +73,13 @@
     result: Result<ServerResponse, Failure>,
 }
 
+/// A server that was selected for an attempt, with a unit of each of its limits.
+pub(super) struct Selected {
+    server: Registration,
+    /// Time, including suspended time, at which the units were valid.
+    taken_ms: u64,
+}
+
 /// Why there is no server for an attempt.
 pub(super) enum NoServer {
     /// The deadline has passed.
@@ -114,9 +121,9 @@
                 false => next_server(state, routed, history),
             };
             match next {
-                Ok(server) => {
+                Ok(Selected { server, taken_ms }) => {
                     let begun = begin(state, routed, history, server);
-                    attempts.push(run(state, routed, &begun, last_event));
+                    attempts.push(run(state, routed, &begun, last_event, taken_ms));
                     running.push(begun);
                 }
                 Err(reason) if attempts.is_empty() => {
@@ -198,7 +205,7 @@
     state: &State,
     routed: &RoutedRequest,
     history: &AttemptHistory,
-) -> Result<Registration, NoServer> {
+) -> Result<Selected, NoServer> {
     if routed.remaining_ms(state.now_ms()) == 0 {
         return Err(NoServer::TimedOut);
     }
@@ -216,10 +223,14 @@
         return Err(NoServer::NoRetry);
     }
     // Another request may have taken the last unit of the server's limit since it was selected.
-    while !state.take_limit(&server) {
+    loop {
+        // Read before the units are taken, so that a pause of the process in between counts.
+        let taken_ms = state.clock.boot_ms();
+        if state.take_limit(&server) {
+            return Ok(Selected { server, taken_ms });
+        }
         server = select()?;
     }
-    Ok(server)
 }
 
 /// Whether a server has reported its load; the rates of the others are learned.
@@ -255,6 +266,7 @@
     routed: &'a RoutedRequest,
     running: &Running,
     last_event: Option<u64>,
+    taken_ms: u64,
 ) -> impl Future<Output = Ended> + use<'a> {
     let (server, sent_ms) = (running.server.clone(), running.sent_ms);
     let progress = running.progress.clone();
@@ -262,6 +274,7 @@
         let limits = AttemptLimits {
             remaining_ms: routed.remaining_ms(sent_ms),
             last_event,
+            taken_ms,
             fetch_source: placement::fetch_source(state, routed, &server),
         };
         Ended {
--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -3,9 +3,8 @@
 
 use std::sync::Arc;
 
-use crate::decide::registry::Registration;
 use crate::decide::wait_queue::Waiting;
-use crate::gateway::attempts::{NoServer, next_server};
+use crate::gateway::attempts::{NoServer, Selected, next_server};
 use crate::gateway::placement::NoSelection;
 use crate::gateway::queue::{Outcome, Place, Woken};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
@@ -19,7 +18,7 @@
     state: &Arc<State>,
     routed: &RoutedRequest,
     history: &mut AttemptHistory,
-) -> Result<Registration, NoServer> {
+) -> Result<Selected, NoServer> {
     if !history.servers.is_empty() {
         return next_server(state, routed, history);
     }
@@ -52,7 +51,7 @@
     routed: &RoutedRequest,
     history: &mut AttemptHistory,
     mut reason: NoServer,
-) -> Result<Registration, NoServer> {
+) -> Result<Selected, NoServer> {
     let waiting = waiting(state, routed);
     let place = match Place::enter(state, &routed.id, &routed.service, waiting) {
         Ok(place) => place,
