--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -80,11 +80,8 @@
     ) -> Vec<ZoneChange> {
         let evacuated = listed.iter().map(|zone| self.evacuate(zone, now_ms));
         let mut changes: Vec<ZoneChange> = evacuated.flatten().collect();
-        let is_missing = |zone: &&ZoneId| !listed.contains(*zone) && !unreadable.contains(*zone);
-        let missing: Vec<ZoneId> = self.since_ms.keys().filter(is_missing).cloned().collect();
-        let keeps = self.keep_until_ms.is_some_and(|until_ms| now_ms < until_ms);
-        for zone in missing {
-            match keeps {
+        for zone in self.missing(listed, unreadable) {
+            match self.keeps_missing(now_ms) {
                 true => _ = self.kept.insert(zone),
                 false => changes.extend(self.restore(&zone, now_ms)),
             }
@@ -92,6 +89,29 @@
         changes
     }
 
+    /// Zones whose evacuation this snapshot ends.
+    pub fn ended_by(
+        &self,
+        listed: &IndexSet<ZoneId>,
+        unreadable: &IndexSet<ZoneId>,
+        now_ms: u64,
+    ) -> Vec<ZoneId> {
+        match self.keeps_missing(now_ms) {
+            true => Vec::new(),
+            false => self.missing(listed, unreadable),
+        }
+    }
+
+    fn missing(&self, listed: &IndexSet<ZoneId>, unreadable: &IndexSet<ZoneId>) -> Vec<ZoneId> {
+        let zones = self.since_ms.keys();
+        let missing = zones.filter(|zone| !listed.contains(*zone) && !unreadable.contains(*zone));
+        missing.cloned().collect()
+    }
+
+    fn keeps_missing(&self, now_ms: u64) -> bool {
+        self.keep_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
     /// Whether a snapshot is due because zones are kept that the source may lack for good. True once.
     pub fn take_snapshot_due(&mut self, now_ms: u64) -> bool {
         let is_over = self.keep_until_ms.is_none_or(|until_ms| now_ms >= until_ms);
--- a/src/decide/evacuation/tests.rs
+++ b/src/decide/evacuation/tests.rs
@@ -45,6 +45,9 @@
     let mut evacuations = Evacuations::default();
     evacuations.replace(&zones(&["z1", "z2"]), &zones(&[]), 0);
     evacuations.on_source_restored(1_000);
+    let ended = |at_ms| evacuations.ended_by(&zones(&["z1"]), &zones(&[]), at_ms);
+    assert_eq!(ended(1_000), []);
+    assert_eq!(ended(1_000 + RESTORED_KEEP_MS), [ZoneId::from("z2")]);
     assert!(
         evacuations
             .replace(&zones(&[]), &zones(&[]), 1_000)
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -78,10 +78,18 @@
 
     /// Records that a server was reached. One that could not be reached before may have started anew.
     pub fn record_reached(&self, server: &ServerId, now_ms: u64) {
-        if self.health.lock().record_reached(server) {
+        let is_again = {
+            // Held until the server counts as cold, so that no thread finds it reachable and warm.
+            let mut health = self.health.lock();
+            let is_again = health.record_reached(server);
+            if is_again {
+                let mut cold_starts = self.cold_starts.lock();
+                cold_starts.record_event(server, ColdCause::ReachedAgain, now_ms);
+            }
+            is_again
+        };
+        if is_again {
             log::info!("event=server_reached_again server={server}");
-            let mut cold_starts = self.cold_starts.lock();
-            cold_starts.record_event(server, ColdCause::ReachedAgain, now_ms);
         }
     }
 
--- a/src/gateway/state/held_back.rs
+++ b/src/gateway/state/held_back.rs
@@ -28,6 +28,9 @@
 
     /// Ends the evacuation of a zone.
     pub fn restore_zone(&self, zone: &ZoneId) {
+        if self.evacuated_since_ms(zone).is_some() {
+            self.record_zone_cold(zone);
+        }
         let change = self.evacuations.write().restore(zone, self.now_ms());
         self.record_zone_changes(change);
     }
@@ -35,6 +38,11 @@
     /// Applies the evacuations of a snapshot; a zone whose row is `unreadable` stays as it was.
     pub fn replace_evacuations(&self, listed: &IndexSet<ZoneId>, unreadable: &IndexSet<ZoneId>) {
         let now_ms = self.now_ms();
+        let ended = {
+            let evacuations = self.evacuations.read();
+            evacuations.ended_by(listed, unreadable, now_ms)
+        };
+        ended.iter().for_each(|zone| self.record_zone_cold(zone));
         let changes = self.evacuations.write().replace(listed, unreadable, now_ms);
         self.record_zone_changes(changes);
     }
@@ -65,7 +73,6 @@
                 ZoneChange::Evacuated(zone) => log::warn!("event=zone_evacuated zone={zone}"),
                 ZoneChange::Restored(zone, for_ms) => {
                     log::warn!("event=zone_restored zone={zone} evacuated_for_ms={for_ms}");
-                    self.record_zone_cold(&zone);
                 }
             }
         }
@@ -82,7 +89,8 @@
             .collect()
     }
 
-    /// Records that the servers of a zone whose evacuation ended may be cold.
+    /// Records that the servers of a zone whose evacuation ends may be cold. Called before it ends, so
+    /// that no other thread finds them open and warm.
     fn record_zone_cold(&self, zone: &ZoneId) {
         let now_ms = self.now_ms();
         let servers: Vec<ServerId> = {
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -258,11 +258,9 @@
             .cloned()
             .map(|row| (row.id.clone(), row));
         let rows_by_id: IndexMap<ServerId, Registration> = rows_by_id.collect();
-        let changes = self
-            .state
-            .registry
-            .lock()
-            .replace(registrations, &unreadable, now_ms);
+        // Locked until new servers count as cold, so that no thread finds one registered and warm.
+        let mut registry = self.state.registry.lock();
+        let changes = registry.replace(registrations, &unreadable, now_ms);
         let mut effects = IndexMap::new();
         for (id, change) in changes {
             log_change(&id, change);
@@ -271,6 +269,7 @@
                 row.is_some_and(|row| self.state.record_cold_row(row, change, is_first));
             effects.insert(id, effect(change, is_cold_news));
         }
+        drop(registry);
         let effect = |row: &Row| effects.get(row.key.as_str()).copied();
         let effects = rows.iter().map(effect);
         effects.map(|e| e.unwrap_or(RowEffect::Skip)).collect()
@@ -282,9 +281,12 @@
         let change = match (&row.content, self.decode_row(row)) {
             (None, _) => self.state.registry.lock().remove(&id, now_ms),
             (Some(_), Some(registration)) => {
-                let change = self.state.registry.lock().set(registration.clone(), now_ms);
-                log_change(&id, change);
+                // As in `replace`.
+                let mut registry = self.state.registry.lock();
+                let change = registry.set(registration.clone(), now_ms);
                 let is_cold_news = self.state.record_cold_row(&registration, change, false);
+                drop(registry);
+                log_change(&id, change);
                 return effect(change, is_cold_news);
             }
             (Some(_), None) => return RowEffect::Skip,
