Lock routes and registry in one order

has_tables kept the routes locked while it locked the registry, and dump locked them the other way round. With a routing table waiting to be set, all three waited for each other.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -474,7 +474,9 @@
 
     /// Whether routes and servers are known.
     pub fn has_tables(&self) -> bool {
-        self.routing.read().is_some() && !self.registry.lock().is_empty()
+        // Routes are not to stay locked while the registry is: `dump` locks them the other way round.
+        let has_routes = self.routing().is_some();
+        has_routes && !self.registry.lock().is_empty()
     }
 
     /// Whether a stop has begun.
