--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -32,9 +32,9 @@
     Unreachable,
     /// It asked for a pause.
     Paused,
-    /// It is cold, and this router's share of its requests is used up.
+    /// It is cold, and this router has no unit of its limit.
     Cold,
-    /// This router's share of the limit that it announced is used up.
+    /// This router has no unit of the limit that it announced.
     AtLimit,
 }
 
@@ -117,7 +117,7 @@
         }
         match (self.cold, self.cold_room, self.limit_room) {
             (Some(cold), Room::UsedUp(until_ms), _) => {
-                // A router without a share has room when the cold time ends.
+                // A router that gets no units has room when the cold time ends.
                 let until_ms = until_ms.map_or(cold.until_ms, |room| room.min(cold.until_ms));
                 held(HoldReason::Cold, Some(cold.since_ms), Some(until_ms))
             }
--- a/src/decide/capacity/tests.rs
+++ b/src/decide/capacity/tests.rs
@@ -62,7 +62,7 @@
     assert_eq!(open().availability(), Availability::Open { is_cold: false });
 }
 
-/// Guards against requests that wait for good because this router has no share of a cold server.
+/// Guards against requests that wait for good because this router gets no units of a cold server.
 #[test]
 fn availability_without_a_share_ends_with_the_cold_time() {
     let knowledge = Knowledge {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -46,8 +46,8 @@
     Paused { until_ms: u64 },
     /// All servers are at capacity.
     AtCapacity,
-    /// This router's shares of the limits of all servers, and of the requests that cold servers take,
-    /// are used up, the first one until the given time; `None` if it has no share.
+    /// This router has no unit of the limits of any server, announced or for its cold time; one is
+    /// expected at the given time, `None` if that is not known.
     AtLimit { until_ms: Option<u64> },
     /// All servers are in availability zones that the operator has evacuated.
     Evacuated,
