--- a/src/decide/allowance/tests.rs
+++ b/src/decide/allowance/tests.rs
@@ -40,7 +40,7 @@
     );
 }
 
-/// Guards against shares that are lost where all traffic enters at one router: the fixed senders used
+/// Guards against shares that are lost where all traffic enters at one router: the fixed set of routers used
 /// a third of a limit there.
 #[test]
 fn room_all_traffic_at_one_router_uses_nearly_the_whole_rate() {
