Memory budget: keep a body that waits alone, and go on after a refused one is complete

A body in chunks that waited for more room was refused after 500 ms although no other body waited. One that was refused as its last bytes came kept its mark, so that no stalled body was refused while it was served.

--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -234,6 +234,9 @@
         self.try_hold(id, bytes);
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_receiving = false;
+            // It may have been refused with its last bytes already received. Its room is not freed
+            // now, and must not keep stalled bodies from being refused.
+            holder.is_refused = false;
         }
         self.ready(now_ms)
     }
@@ -282,8 +285,11 @@
     /// for room itself. Its room is free once it is closed.
     pub fn refuse_stalled(&mut self, now_ms: u64) -> Option<HolderId> {
         self.waiting.front()?;
+        // The room of the only one that waits is of use to no other.
+        let may_refuse_waiting = self.waiting.len() > 1;
         let is_candidate = |holder: &Holder| {
             holder.is_receiving
+                && (holder.wanted_bytes.is_none() || may_refuse_waiting)
                 && holder.pool == Pool::LargeRequests
                 && now_ms >= holder.progress_ms + STALL_MS
         };
--- a/src/decide/memory_budget/tests.rs
+++ b/src/decide/memory_budget/tests.rs
@@ -71,6 +71,38 @@
     assert_eq!(budget.refuse_stalled(10_000), None);
 }
 
+/// Guards against a body in chunks that is refused while it waits for more room and no other body
+/// waits for its room.
+#[test]
+fn refuse_stalled_only_one_that_waits_is_kept() {
+    let mut budget = MemoryBudget::new(16 << 20);
+    let (done, growing) = (
+        budget.open(Purpose::Request, 0),
+        budget.open(Purpose::Request, 0),
+    );
+    assert_eq!(budget.claim(done, 3 << 20, 0), Room::Held);
+    budget.complete(done, 3 << 20, 0);
+    assert_eq!(budget.claim(growing, 1 << 20, 0), Room::Held);
+    assert_eq!(budget.claim(growing, 2 << 20, 0), Room::Wait);
+    assert_eq!(budget.refuse_stalled(2 * STALL_MS), None);
+    assert_eq!(budget.close(done, 2 * STALL_MS), [growing]);
+    assert_eq!(budget.claim(growing, 2 << 20, 2 * STALL_MS), Room::Held);
+}
+
+/// Guards against a body that was refused as its last bytes came, and then keeps all stalled ones
+/// from being refused for as long as it is served.
+#[test]
+fn refuse_stalled_goes_on_after_a_refused_body_is_complete() {
+    let mut budget = MemoryBudget::new(16 << 20);
+    let ids: Vec<_> = (0..3).map(|_| budget.open(Purpose::Request, 0)).collect();
+    assert_eq!(budget.claim(ids[0], 2 << 20, 0), Room::Held);
+    assert_eq!(budget.claim(ids[1], 2 << 20, 1), Room::Held);
+    assert_eq!(budget.claim(ids[2], 2 << 20, 1), Room::Wait);
+    assert_eq!(budget.refuse_stalled(STALL_MS), Some(ids[0]));
+    budget.complete(ids[0], 2 << 20, STALL_MS);
+    assert_eq!(budget.refuse_stalled(1 + STALL_MS), Some(ids[1]));
+}
+
 /// Guards against a legal body that a small host never receives.
 #[test]
 fn claim_single_body_larger_than_the_share_is_held() {
