Queue: pass on a place that a less urgent request declines, and notice a stop on entry

A place offered to a less urgent request in its turn, whose admission level is lower, stayed empty for up to 50 ms while more urgent requests waited. A request that entered just after a stop had woken the others waited for up to two latency targets. An offer after the end of the wait, in a process that was paused, was accepted.

--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -64,8 +64,9 @@
     /// assert_eq!(Waiting { deadline_ms: 500, ..waiting }.leave_ms(), 500);
     /// ```
     pub fn leave_ms(&self) -> u64 {
-        let longest_ms = WAIT_TARGETS_MAX * self.latency_target_ms;
-        self.deadline_ms.min(self.arrived_ms + longest_ms)
+        let longest_ms = WAIT_TARGETS_MAX.saturating_mul(self.latency_target_ms);
+        let longest_end_ms = self.arrived_ms.saturating_add(longest_ms);
+        self.deadline_ms.min(longest_end_ms)
     }
 
     fn allowed_wait_ms(&self) -> u64 {
@@ -74,7 +75,7 @@
     }
 
     fn is_late(&self, now_ms: u64) -> bool {
-        now_ms > self.arrived_ms + self.latency_target_ms
+        now_ms.saturating_sub(self.arrived_ms) > self.latency_target_ms
     }
 }
 
@@ -183,8 +184,8 @@
         let first = priorities.clone().min()?;
         // That of the one that has waited longest: the next priority would starve those after it.
         let less_urgent = priorities.find(|priority| *priority > first);
-        // A less urgent request may find no place where a more urgent one does, so that the offers of
-        // a turn alternate until one is placed.
+        // A less urgent request may find no place where a more urgent one does, so that offers
+        // alternate until the less urgent one is placed.
         let is_turn = self.turns + 1 >= LESS_URGENT_INTERVAL && !self.is_turn_offered;
         let priority = match less_urgent {
             Some(priority) if is_turn => priority,
@@ -205,6 +206,15 @@
         first.map(|(ticket, _)| *ticket)
     }
 
+    /// Whether no waiting request is more urgent than this one.
+    pub fn is_most_urgent(&self, ticket: Ticket) -> bool {
+        let entry = self.entries.get(&ticket);
+        entry.is_none_or(|entry| {
+            let mut others = self.entries.values();
+            others.all(|other| other.priority >= entry.priority)
+        })
+    }
+
     /// Removes a request that was placed.
     pub fn place(&mut self, ticket: Ticket, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.drained_ms) as f64;
--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -69,9 +69,8 @@
         }
     };
     loop {
-        let woken = place.wait(retry_ms(&reason)).await;
-        let outcome = match woken {
-            _ if state.is_stopping() => Some(Outcome::Stopping),
+        let outcome = match place.wait(retry_ms(&reason)).await {
+            Woken::Stopping => Some(Outcome::Stopping),
             Woken::TimedOut => Some(Outcome::TimedOut),
             Woken::Offered => None,
         };
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -2,6 +2,9 @@
 //! capacity. `decide::wait_queue`, `decide::learned_capacity` and `decide::admission_level` decide;
 //! this module wakes the waiting requests.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -21,7 +24,8 @@
 /// Longest time between two offers to a waiting request: other routers' requests end unseen by this
 /// one.
 const OFFER_INTERVAL_MS: u64 = 50;
-/// Share of the process's memory for waiting requests.
+/// Share of the process's memory for the waiting requests of one service. The budget of request bodies
+/// bounds those of all services together.
 const MEMORY_DIVISOR: usize = 8;
 /// Fixed part of the memory of a waiting request: its headers, its future and its connection.
 const REQUEST_BYTES: usize = 8 * 1024;
@@ -62,6 +66,18 @@
         }
     }
 
+    /// Records that no server was selected after an offer.
+    fn decline_offer(&mut self, ticket: Ticket, now_ms: u64) {
+        if let Some(waker) = self.wakers.get_mut(&ticket) {
+            waker.is_offered = false;
+        }
+        // A less urgent request is placed up to a lower level of load, so that a more urgent one may
+        // find a place where this one did not.
+        if !self.queue.is_most_urgent(ticket) {
+            self.offer_next(now_ms);
+        }
+    }
+
     /// Wakes the next request. One that has not yet selected a server since its last offer uses this
     /// place too, and then offers the next.
     fn offer_next(&mut self, now_ms: u64) {
@@ -85,6 +101,8 @@
     Offered,
     /// It has waited as long as it may.
     TimedOut,
+    /// A stop has begun.
+    Stopping,
 }
 
 /// A request in the queue. Dropping it removes the request, such as when its caller has gone.
@@ -142,7 +160,7 @@
 }
 
 impl Queues {
-    /// Creates empty queues that hold a part of the process's memory at most.
+    /// Creates no queues yet; each of them will hold a part of the process's memory at most.
     pub fn new(clock: Arc<dyn Clock>, memory_bytes: usize) -> Self {
         Self(Arc::new(Shared {
             clock,
@@ -222,7 +240,7 @@
         }
     }
 
-    /// Counts a request as in progress until the guard is dropped.
+    /// Guard of a request that is sent to a server now.
     pub fn start_run(&self, service: &ServiceId) -> RunGuard {
         RunGuard {
             shared: Arc::downgrade(&self.0),
@@ -332,15 +350,24 @@
         })
     }
 
-    /// Waits until the request is to select a server, or has waited as long as it may. `retry_ms` is
-    /// when a place can be had without an event, if that is known.
+    /// Waits until the request is to select a server, has waited as long as it may, or a stop begins.
+    /// `retry_ms` is when a place can be had without an event, if that is known.
     pub async fn wait(&self, retry_ms: Option<u64>) -> Woken {
         let mut retry_ms = retry_ms;
+        let mut is_offered = false;
         loop {
             let now_ms = self.state.queues.now_ms();
+            // A stop that began before the request entered has not woken it, and a process that was
+            // paused may find an offer and the end of the wait at the same time.
+            if self.state.is_stopping() {
+                return Woken::Stopping;
+            }
             if now_ms >= self.leave_ms {
                 return Woken::TimedOut;
             }
+            if is_offered {
+                return Woken::Offered;
+            }
             let is_last_offered = self.state.queues.with_service(&self.service, |known| {
                 known.last_offered == Some(self.ticket)
             });
@@ -354,10 +381,8 @@
                 false
             };
             let woken = async { self.receiver.recv().await.is_ok() };
-            if woken.or(timer).await {
-                return Woken::Offered;
-            }
-            if is_last_offered {
+            is_offered = woken.or(timer).await;
+            if is_last_offered && !is_offered {
                 self.state.queues.offer_next(&self.service);
             }
         }
@@ -365,10 +390,9 @@
 
     /// Records that no server was selected after an offer.
     pub fn decline_offer(&self) {
+        let now_ms = self.state.queues.now_ms();
         self.state.queues.with_service(&self.service, |known| {
-            if let Some(waker) = known.wakers.get_mut(&self.ticket) {
-                waker.is_offered = false;
-            }
+            known.decline_offer(self.ticket, now_ms);
         });
     }
 
@@ -391,7 +415,8 @@
         self.state.queues.with_service(&self.service, |known| {
             known.queue.remove(self.ticket);
             let waker = known.wakers.swap_remove(&self.ticket);
-            // A place that it was offered is for the next one, as is one more after a placement.
+            // The next one gets the place that this one was offered, or tries for a further one after
+            // this one was placed.
             if known.last_offered == Some(self.ticket) || waker.is_some_and(|w| w.is_offered) {
                 known.offer_next(now_ms);
             }
