Queue: send no waiting request whose caller has closed behind further bytes

hyper does not read a connection while bytes of a further request are in its buffer, so it did not notice the end of such a connection, and the waiting request was sent. The connection is now probed before each offer is used (POLLRDHUP).

--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -72,6 +72,7 @@
         let outcome = match place.wait(retry_ms(&reason)).await {
             Woken::Stopping => Some(Outcome::Stopping),
             Woken::TimedOut => Some(Outcome::TimedOut),
+            Woken::Offered if routed.has_caller_gone() => Some(Outcome::CallerGone),
             Woken::Offered => None,
         };
         if let Some(outcome) = outcome {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -114,6 +114,7 @@
         prompt: head.prompt,
         prompt_parts: head.prompt_parts,
         last_event: head.last_event,
+        connection: parts.extensions.get().cloned(),
         arrived_ms,
         deadline_ms: arrived_ms + wait_ms.min(route.timeout_ms),
         route,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -9,6 +9,7 @@
 use crate::config::routing::Route;
 use crate::decide::strikes::Fingerprint;
 use crate::gateway::protocol::Prompt;
+use crate::http::socket::SocketProbe;
 use crate::ids::{Repeat, RequestId, ServerId, ServiceId, TeamId};
 
 /// A caller's request after routing, with everything that its attempts need.
@@ -40,6 +41,8 @@
     pub prompt_parts: Vec<Fingerprint>,
     /// Number of the last event that the caller received, if the request resumes a stream.
     pub last_event: Option<u64>,
+    /// Probe of the caller's connection, if it is known.
+    pub connection: Option<SocketProbe>,
     /// Monotonic arrival time in ms.
     pub arrived_ms: u64,
     /// Monotonic time in ms after which the caller no longer expects a response.
@@ -60,6 +63,13 @@
         })
     }
 
+    /// Whether the caller has closed its connection. hyper notices that only if no bytes of a further
+    /// request follow.
+    pub fn has_caller_gone(&self) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_some_and(SocketProbe::has_peer_closed)
+    }
+
     /// Time left until the deadline; 0 once it has passed.
     pub fn remaining_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,7 +22,7 @@
 use crate::http::framing;
 use crate::http::guard::{self, CallerIo, ConnectionProgress, Expiry, TrackedBody};
 use crate::http::limits::ServerLimits;
-use crate::http::socket::set_reset_on_close;
+use crate::http::socket::{SocketProbe, set_reset_on_close};
 use crate::ids::RequestId;
 use crate::runtime::{Runtime, Shutdown};
 
@@ -50,7 +50,8 @@
 }
 
 impl Server {
-    /// Binds `address` and serves each request with `handle`.
+    /// Binds `address` and serves each request with `handle`. The extensions of a request have a
+    /// [`SocketProbe`] of its connection.
     pub fn bind<H, F>(
         runtime: &Runtime,
         address: SocketAddr,
@@ -193,8 +194,10 @@
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         progress.begin_request();
+        let probe = SocketProbe::of(stream.clone());
+        request.extensions_mut().insert(probe);
         let is_last = must_close(&request);
         let knows_chunks = request.version() >= Version::HTTP_11;
         let wants_body = request.method() != Method::HEAD;
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use smol::Async;
 use smol::net::TcpStream;
 
@@ -161,6 +162,24 @@
 pub struct SocketProbe(Weak<Async<std::net::TcpStream>>);
 
 impl SocketProbe {
+    /// A probe of a stream, which does not keep it open.
+    pub fn of(stream: TcpStream) -> Self {
+        let stream: Arc<Async<std::net::TcpStream>> = stream.into();
+        Self(Arc::downgrade(&stream))
+    }
+
+    /// Whether the peer has closed the connection, or its sending side. This also shows an end
+    /// behind bytes that have not been read.
+    pub fn has_peer_closed(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else {
+            return true;
+        };
+        let mut polled = [PollFd::new(&*stream, PollFlags::RDHUP)];
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let is_polled = poll(&mut polled, Some(&Timespec::default())).is_ok();
+        is_polled && polled[0].revents().intersects(ended)
+    }
+
     /// Whether the socket is open and has nothing to read. This makes a system call, since the
     /// server may have closed the connection without the socket's task having been woken yet.
     pub fn is_idle(&self) -> bool {
