--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -214,6 +214,11 @@
         holder.is_some_and(|holder| holder.wanted_bytes.is_some())
     }
 
+    /// Whether the holder has waited for room for longest.
+    pub fn is_first_waiting(&self, id: HolderId) -> bool {
+        self.waiting.front() == Some(&id)
+    }
+
     /// Records that more of a body has arrived; false if it was refused.
     pub fn record_progress(&mut self, id: HolderId, now_ms: u64) -> bool {
         let Some(holder) = self.holders.get_mut(&id) else {
--- a/src/decide/memory_budget/tests.rs
+++ b/src/decide/memory_budget/tests.rs
@@ -37,7 +37,9 @@
     assert_eq!(budget.refuse_stalled(99 + STALL_MS), None);
     assert_eq!(budget.refuse_stalled(100 + STALL_MS), Some(slow));
     assert!(!budget.record_progress(slow, 700));
+    assert!(budget.is_first_waiting(waiting) && !budget.is_first_waiting(slow));
     assert_eq!(budget.close(slow, 700), [waiting]);
+    assert!(!budget.is_first_waiting(waiting));
     assert_eq!(budget.claim(waiting, LARGE_BYTES, 700), Room::Held);
 }
 
--- a/src/http/memory.rs
+++ b/src/http/memory.rs
@@ -14,8 +14,8 @@
 use crate::decide::memory_budget::{HolderId, MemoryBudget, Purpose, Room};
 use crate::edge::clock::Clock;
 
-/// Interval at which a body that waits for room looks for one that has stalled: half of the time
-/// after which one counts as such.
+/// Interval at which a body that waits for room checks whether it is the first to wait, and then looks
+/// for one that has stalled: half of the time after which one counts as such.
 const STALL_CHECK: Duration = Duration::from_millis(250);
 
 struct Shared {
@@ -121,7 +121,11 @@
             if room == Room::Wait {
                 let checks = checks.get_or_insert_with(|| Timer::interval(STALL_CHECK));
                 while Pin::new(&mut *checks).poll_next(cx).is_ready() {}
-                self.memory.change(MemoryBudget::refuse_stalled);
+                // One search for all that wait: each looks at all holders.
+                self.memory.change(|budget, now_ms| {
+                    let is_first = budget.is_first_waiting(self.id);
+                    is_first.then(|| budget.refuse_stalled(now_ms)).flatten()
+                });
                 return Poll::Pending;
             }
             Poll::Ready(room == Room::Held)
