--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -69,10 +69,10 @@
         }
     };
     loop {
-        let woken = place.wait(retry_ms(&reason)).await;
-        let outcome = match woken {
-            _ if state.is_stopping() => Some(Outcome::Stopping),
+        let outcome = match place.wait(retry_ms(&reason)).await {
+            Woken::Stopping => Some(Outcome::Stopping),
             Woken::TimedOut => Some(Outcome::TimedOut),
+            Woken::Offered { .. } if routed.has_caller_gone() => Some(Outcome::CallerGone),
             Woken::Offered { is_own_place } => {
                 history.has_own_place = is_own_place;
                 None
