--- a/src/gateway/queue/tests.rs
+++ b/src/gateway/queue/tests.rs
@@ -15,6 +15,7 @@
     let waker = Waker {
         sender,
         is_offered: false,
+        is_own_place: false,
     };
     known.wakers.insert(ticket, waker);
     (ticket, receiver)
@@ -30,7 +31,7 @@
     // Requests that are more urgent are placed until it is the turn of the less urgent one.
     let (urgent, urgent_offered) = loop {
         let (urgent, urgent_offered) = push(&mut known, 0);
-        known.offer_next(0);
+        known.offer_next(false, 0);
         if known.last_offered == Some(less_urgent) {
             break (urgent, urgent_offered);
         }
@@ -47,3 +48,17 @@
     known.decline_offer(urgent, 0);
     assert!(offered.try_recv().is_err() && urgent_offered.try_recv().is_err());
 }
+
+/// Guards against a place that a request of this router has left and that nobody takes, since the
+/// requests that other routers are expected to send count against it.
+#[test]
+fn offer_next_own_place_is_told_from_a_place_of_all_routers() {
+    let mut known = ServiceQueue::new(1 << 20);
+    let (ticket, _offered) = push(&mut known, 1);
+    let is_own_place = |known: &ServiceQueue| known.wakers[&ticket].is_own_place;
+    known.offer_next(false, 0);
+    assert!(!is_own_place(&known));
+    known.offer_next(true, 0);
+    known.offer_next(false, 0);
+    assert!(is_own_place(&known));
+}
