Count a request that waits for the end of a pause as one offer

It was recorded at each poll, so that the other routers were expected to send ten times as many requests, and the admission levels counted failures that were none. A load report whose sum overflows is bounded.

Tried and taken out: rooms of servers that are not below zero, and retries without the draw.

--- a/model/src/traffic.rs
+++ b/model/src/traffic.rs
@@ -84,12 +84,12 @@
     rng: ChaCha8Rng,
     next_id: usize,
     seen_prompts: std::collections::HashSet<u64>,
-    /// For each kind, the cumulated popularity of its prompts; empty if all are equally popular.
+    /// For each kind, the cumulative popularity of its prompts; empty if all are equally popular.
     popularity: Vec<Vec<f64>>,
 }
 
 /// Cumulated shares of a kind's prompts, the most popular one first.
-fn cumulated_popularity(kind: &RequestKind) -> Vec<f64> {
+fn cumulative_popularity(kind: &RequestKind) -> Vec<f64> {
     if kind.popularity_exponent == 0.0 {
         return Vec::new();
     }
@@ -106,7 +106,7 @@
     /// Creates a generator for these kinds of request.
     pub fn new(kinds: Vec<RequestKind>, burst: Burst, rng: ChaCha8Rng) -> Self {
         Self {
-            popularity: kinds.iter().map(cumulated_popularity).collect(),
+            popularity: kinds.iter().map(cumulative_popularity).collect(),
             kinds,
             burst,
             rng,
--- a/src/decide/load/tests.rs
+++ b/src/decide/load/tests.rs
@@ -133,7 +133,7 @@
     assert_eq!(load.view(0).slowdown(), 1.0);
 }
 
-/// Guards against an absurd value that keeps all requests from a server.
+/// Guards against an out-of-range value that keeps all requests from a server.
 #[test]
 fn slowdown_is_bounded() {
     let mut load = ServerLoad::default();
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -209,6 +209,9 @@
         let room = |c: &Candidate<'_>| {
             full_per_slot * f64::from(c.slots) - c.load * (1.0 - self.ended_share)
         };
+        // Negative where the servers hold more than their slots, so that a full service takes nothing.
+        // Counted without it, a waiting request that takes the place of an ended one overfills the
+        // servers.
         let total_room: f64 = open.iter().map(room).sum();
         if unit_draw(draw, "admission") * self.total > total_room {
             return Err(AtCapacity);
--- a/src/decide/placement/tests.rs
+++ b/src/decide/placement/tests.rs
@@ -304,7 +304,8 @@
 /// times the traffic of fleet A the engines then held 70 requests on average, with 32 slots.
 #[test]
 fn place_unseen_starts_fill_the_free_slots_only() {
-    // 18 slots are free, and the others are expected to offer 100 x 135 / 10 requests.
+    // 18 slots are free, and the others, which hold 117 requests and this router 9, are expected to
+    // offer 10 x 117 / 10.
     let share = share_placed(SLOTS - 2, 1, 10.0);
     let expected = 18.0 / (10.0 * 9.0 * 13.0 / 10.0);
     assert!((share - expected).abs() < 0.05, "{share} and {expected}");
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -426,7 +426,7 @@
 fn record_load(state: &State, server: &Registration, load: LoadReport) {
     let report = Report {
         incarnation: server.incarnation,
-        held: load.running + load.waiting,
+        held: load.running.saturating_add(load.waiting),
         slots: load.slots,
         as_of_ms: state.now_ms(),
     };
--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -22,13 +22,17 @@
     if !history.servers.is_empty() {
         return next_server(state, routed, history);
     }
-    state.offers.record_offer(&routed.service, state.now_ms());
+    // A request that waits for the end of a pause comes here again.
+    let is_new = !std::mem::replace(&mut history.is_offered, true);
+    if is_new {
+        state.offers.record_offer(&routed.service, state.now_ms());
+    }
     let is_behind = state.queues.has_as_urgent(&routed.service, routed.priority);
     let selected = match is_behind {
         true => Err(NoServer::NotSelected(NoSelection::AtCapacity)),
         false => next_server(state, routed, history),
     };
-    if routed.prompt.is_some() {
+    if is_new && routed.prompt.is_some() {
         let is_placed = selected.is_ok();
         state
             .queues
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -84,6 +84,8 @@
     /// Servers that did not run an attempt since they had asked for a pause, after which they may be
     /// tried again.
     pub paused: Vec<ServerId>,
+    /// Whether the request was counted as one for which a server is sought.
+    pub is_offered: bool,
     /// Whether the next attempt takes the place that a request of this router has left. Other routers
     /// do not count on that place.
     pub has_own_place: bool,
