--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::decide::wait_queue::Waiting;
-use crate::gateway::attempts::{NoServer, Selected, next_server};
+use crate::gateway::next_server::{NoServer, Selected, next_server};
 use crate::gateway::placement::NoSelection;
 use crate::gateway::queue::{Outcome, Place, Woken};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod fleet_totals;
 pub mod freshness;
 pub mod mirror;
+mod next_server;
 pub mod offers;
 pub mod placement;
 pub mod prompts_in_flight;
