--- a/src/filter/dispatch_once.rs
+++ b/src/filter/dispatch_once.rs
@@ -30,6 +30,7 @@
 use crate::filter::{RequestContext, Verdict, choose, claim, record};
 use crate::http::Body;
 use crate::http::first_byte::{FirstByte, GuardedStream};
+use crate::http::framing;
 use crate::http::pool::connect;
 use crate::ids::{AttemptId, RunState, ServerId};
 use crate::observe::recent_requests::AttemptRecord;
@@ -443,6 +444,10 @@
     if let Err(error) = check_attempt_id(&response, id) {
         return AttemptOutcome::Unknown(error.reason);
     }
+    if !framing::is_valid_status(response.status()) {
+        let status = response.status().as_u16();
+        return AttemptOutcome::Unknown(format!("the response has the status {status}"));
+    }
     let (parts, body) = response.into_parts();
     let is_reported_not_run = parts.headers.get("x-not-run").is_some_and(|v| v == "1");
     if parts.status == StatusCode::SERVICE_UNAVAILABLE && is_reported_not_run {
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -42,6 +42,8 @@
     TruncatedResponse,
     /// Runs the call; the response has a content coding that was not requested.
     EncodedResponse,
+    /// Runs the call; the status of the response, 999, is none of HTTP.
+    InvalidStatus,
 }
 
 /// One executed call.
@@ -200,6 +202,13 @@
             response.headers_mut().insert(CONTENT_ENCODING, gzip);
             response
         }
+        Fault::InvalidStatus => {
+            let mut response = completed(text, &attempt);
+            if let Ok(status) = StatusCode::from_u16(999) {
+                *response.status_mut() = status;
+            }
+            response
+        }
         Fault::Slow(pause) => {
             smol::Timer::after(pause).await;
             completed(text, &attempt)
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -111,6 +111,7 @@
         Fault::MisattributedNotRun,
         Fault::TruncatedResponse,
         Fault::EncodedResponse,
+        Fault::InvalidStatus,
     ];
     let mut expected_runs = 0;
     for (index, fault) in faults.into_iter().enumerate() {
@@ -135,6 +136,7 @@
                 | Fault::MisattributedResponse
                 | Fault::TruncatedResponse
                 | Fault::EncodedResponse
+                | Fault::InvalidStatus
         );
         expected_runs += usize::from(does_run);
         assert_eq!(env.runs().len(), expected_runs, "{fault:?}");
