--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -56,8 +56,14 @@
     }
 }
 
-/// Ends the process with 2 if the case takes too long.
+/// Ends the process with 2 if the case takes too long, or a thread of it panics.
 pub fn start_watchdog(record: &Record, limit_s: u64) {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual(panic);
+        end_all_children();
+        std::process::exit(2);
+    }));
     let record = record.clone();
     thread::spawn(move || {
         sleep_ms(limit_s * 1_000);
@@ -90,7 +96,8 @@
 }
 
 pub fn end_all_children() {
-    for pid in CHILDREN.lock().unwrap().drain(..) {
+    let Ok(mut children) = CHILDREN.lock() else { return };
+    for pid in children.drain(..) {
         unsafe { kill(pid as i32, SIGKILL) };
     }
 }
@@ -108,18 +115,23 @@
 
 // ---- addresses -------------------------------------------------------------------------------
 
-/// A port that is free on this loopback address.
-pub fn free_port(ip: Ipv4Addr) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
-}
-
-/// A port below the ephemeral range that is free on all these loopback addresses.
-pub fn common_port(ips: &[Ipv4Addr]) -> u16 {
-    let first = 20_000 + (std::process::id() % 500) as u16 * 16;
-    (0..500u16)
-        .map(|step| 20_000 + (first - 20_000 + step * 16) % 8_000)
-        .find(|port| ips.iter().all(|ip| TcpListener::bind((*ip, *port)).is_ok()))
-        .expect("a free port")
+/// Ports that a machine needs: a range of 16 for the routers, and those of callers, readiness checks and
+/// operators.
+const PORTS: u16 = 32;
+const PORT_FRONT: u16 = 16;
+const PORT_READY: u16 = 17;
+const PORT_CONTROL: u16 = 18;
+
+/// First of `PORTS` ports, below the ephemeral range, of which the used ones are free on all these
+/// loopback addresses.
+fn free_ports(ips: &[Ipv4Addr]) -> u16 {
+    let used = [0, PORT_FRONT, PORT_READY, PORT_CONTROL];
+    let is_free = |first: u16| {
+        ips.iter().all(|ip| used.iter().all(|port| TcpListener::bind((*ip, first + port)).is_ok()))
+    };
+    let start = (std::process::id() % 250) as u16;
+    let firsts = (0..250u16).map(|step| 20_000 + (start + step) % 250 * PORTS);
+    firsts.into_iter().find(|first| is_free(*first)).expect("free ports")
 }
 
 // ---- base64 and JSON -------------------------------------------------------------------------
@@ -564,8 +576,8 @@
     pub store: SocketAddr,
     pub zones: Vec<&'static str>,
     pub memory_mb: u64,
+    /// First port of the routers' range; ports are the same on all machines.
     pub first_port: u16,
-    pub control_port: u16,
     /// Address of each router's machine.
     pub ips: Vec<Ipv4Addr>,
 }
@@ -583,8 +595,7 @@
             store: store.address,
             zones: zones.to_vec(),
             memory_mb: 260,
-            first_port: common_port(&ips),
-            control_port: free_port(Ipv4Addr::UNSPECIFIED),
+            first_port: free_ports(&ips),
             ips,
         }
     }
@@ -598,7 +609,7 @@
     }
 
     pub fn seeds(&self) -> String {
-        let seeds = self.ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", self.control_port));
+        let seeds = self.ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", self.first_port + PORT_CONTROL));
         seeds.collect::<Vec<_>>().join(",")
     }
 
@@ -624,7 +635,8 @@
         let zone = deployment.zones[number];
         let ip = deployment.ips[number];
         let name = format!("front-{zone}-1");
-        let (front, ready) = (free_port(ip), free_port(ip));
+        let first = deployment.first_port;
+        let (front, ready) = (first + PORT_FRONT, first + PORT_READY);
         let zones = deployment.zones.iter().map(|zone| format!("{zone} = \"pnw\""));
         let zones: Vec<String> = zones.collect();
         let text = format!(
@@ -642,11 +654,10 @@
              RevokeMs = 5000\nBudgetRatio = 0.2\nBudgetWindowS = 10\nBudgetSlack = 54\nRecoverS = 12\nPassMs = 120\nAgainS = 10\nCapX = 2\n\
              [Provider]\nAddr = \"{store}\"\nform = \"table\"\nWritesPerS = 400\nReadsPerS = 2000\nTxMs = 8.0\n\
              PartWritesPerS = 150\nRowBytes = 65536\nAcross = false\nHistoryS = 20\n",
-            first = deployment.first_port,
-            last = deployment.first_port + 15,
+            last = first + 15,
             seeds = deployment.seeds(),
             zones = zones.join("\n"),
-            control = deployment.control_port,
+            control = first + PORT_CONTROL,
             memory = deployment.memory_mb,
             store = deployment.store,
         );
