--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,9 @@
+#!/bin/bash
+# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# rise of the tenant out.
+cd "$(dirname "$0")" || exit 2
+export REVIEW_ROOT
+REVIEW_ROOT="$(cd ../.. && pwd)"
+program="$REVIEW_ROOT/target/review-2/10"
+[ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
+exec "$program"
--- a/review/kit-2/desk.rs
+++ b/review/kit-2/desk.rs
@@ -124,13 +124,18 @@
 /// Sends a request on a new connection and waits for its answer; a client with `leave_ms` closes the
 /// connection if none has come by then.
 pub fn send(front: SocketAddr, path: &str, body: &[u8], deadline_ms: u64, leave_ms: Option<u64>, record: &Record) -> Seen {
+    send_with(front, path, "", body, deadline_ms, leave_ms, record)
+}
+
+/// Like `send`, with further header lines.
+pub fn send_with(front: SocketAddr, path: &str, lines: &str, body: &[u8], deadline_ms: u64, leave_ms: Option<u64>, record: &Record) -> Seen {
     let id = request_id();
     let begun_ms = record.ms();
     let mut sent_ms = begun_ms;
     let mut exchange = || -> io::Result<u16> {
         let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
-        write!(stream, "POST {path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: {KEY}\r\nContent-Length: {}\r\n\r\n", body.len())?;
+        write!(stream, "POST {path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: {KEY}\r\n{lines}Content-Length: {}\r\n\r\n", body.len())?;
         stream.write_all(body)?;
         sent_ms = record.ms();
         record.line(&format!("{id} sent to {path}, {} bytes", body.len()));
