--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -705,7 +705,7 @@
     let child = Command::new(root.join(&command[0]))
         .args(&command[1..])
         .env_clear()
-        .env("PATH", "/usr/bin:/bin")
+        .env("PATH", std::env::var_os("PATH").unwrap_or_default())
         .env("JUJUBEUSHER_BOOT", settings)
         .current_dir(root)
         .stdin(Stdio::null())
