--- a/review/kit-2/desk.rs
+++ b/review/kit-2/desk.rs
@@ -14,7 +14,7 @@
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 pub const ZONES: [&str; 3] = ["pnw-north", "pnw-central", "pnw-south"];
 const SERVERS: usize = 6;
-const SLOTS: u32 = 6;
+const SLOTS: u32 = 16;
 
 /// When each request reached a server, by its id.
 pub type Arrivals = Arc<Mutex<HashMap<String, u64>>>;
