--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -11,9 +11,8 @@
 
 use indexmap::IndexMap;
 
-/// Size up to which a body or response counts as small and uses the share that large ones cannot use
-/// up. Requests of the known sites have up to some tens of KiB, responses under 5 KB.
-pub const SMALL_MAX_BYTES: usize = 64 * 1024;
+use crate::decide::memory_plan::{MemoryPlan, SMALL_MAX_BYTES};
+
 /// Time without progress after which a body that is being received may be refused, if others wait for
 /// its room. A sixth of the time for a whole body.
 pub const STALL_MS: u64 = 500;
@@ -21,15 +20,6 @@
 /// link of 10 Mbit/s carries for 38 bodies at once.
 pub const PROGRESS_BYTES: usize = 16 * 1024;
 
-/// Share of the memory for large bodies of requests: nine of 4 MiB on a host with 160 MB.
-const REQUESTS_DIVISOR: usize = 4;
-/// Share of the memory for large responses and events: an eighth leaves room for as much again in
-/// the buffers of their connections.
-const RESPONSES_DIVISOR: usize = 8;
-/// Share of the memory for small bodies, and as much for small responses: 150 of the largest small
-/// size, or 2,000 of 5 KB, on a host with 160 MB.
-const SMALL_DIVISOR: usize = 16;
-
 /// What a holder's bytes belong to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -110,16 +100,16 @@
 }
 
 impl MemoryBudget {
-    /// A budget for a process that may use `memory_bytes`, of which it gives out half: the rest is for
-    /// the program, its tables and the buffers of its connections.
+    /// A budget for a process that may use `memory_bytes`, of which it gives out the shares for requests
+    /// and responses.
     pub fn new(memory_bytes: usize) -> Self {
-        let small_bytes = memory_bytes / SMALL_DIVISOR;
+        let plan = MemoryPlan::new(memory_bytes);
         Self {
             max_bytes: [
-                small_bytes,
-                memory_bytes / REQUESTS_DIVISOR,
-                small_bytes,
-                memory_bytes / RESPONSES_DIVISOR,
+                plan.small_requests_bytes,
+                plan.large_requests_bytes,
+                plan.small_responses_bytes,
+                plan.large_responses_bytes,
             ],
             used_bytes: [0; Pool::COUNT],
             holders: IndexMap::new(),
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod membership;
 pub mod memory_budget;
+pub mod memory_plan;
 pub mod offers;
 pub mod orders;
 pub mod overlay;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,9 @@
 use hyper::StatusCode;
 
 use crate::admin::{json_response, text_response};
+use crate::decide::memory_plan::{
+    CALLER_READ_BUFFER_BYTES, CALLER_RECEIVE_BUFFER_BYTES, EXTENDED_BODY_MIN_BYTES,
+};
 use crate::decide::registry::Registration;
 use crate::edge::clock::{Clock, HostClock};
 use crate::error::Result;
@@ -53,7 +56,7 @@
 use crate::gateway::table::Source;
 use crate::gateway::table_handlers::{Decode, RoutesDecoder, RoutingHandler, ServerHandler};
 use crate::gateway::watch::{PollTiming, watch_table};
-use crate::http::limits::{RECEIVE_BUFFER_BYTES, ServerLimits};
+use crate::http::limits::ServerLimits;
 use crate::http::pool::Pool;
 use crate::http::server::Server;
 use crate::runtime::{Runtime, Shutdown};
@@ -288,8 +291,10 @@
 
 fn bind_callers(state: &Arc<State>) -> Result<Server> {
     let limits = ServerLimits {
+        header_bytes: CALLER_READ_BUFFER_BYTES,
         connections_max: state.settings().connections_max,
-        receive_buffer_bytes: Some(RECEIVE_BUFFER_BYTES),
+        receive_buffer_bytes: Some(CALLER_RECEIVE_BUFFER_BYTES),
+        close_from_body_bytes: Some(EXTENDED_BODY_MIN_BYTES as u64),
         idle_timeout: state.caller_timeouts.idle.clone(),
         header_timeout: state.caller_timeouts.header.clone(),
         ..ServerLimits::default()
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,6 +21,7 @@
 use crate::gateway::stream::{self, FirstHead};
 use crate::http::body_reader::{self, ReadError};
 use crate::http::framing::{joined_body_fields, whole_body_fields};
+use crate::http::socket::SocketProbe;
 use crate::http::{Body, full_body};
 use crate::ids::TeamId;
 
@@ -74,7 +75,8 @@
             .min(BODY_TIMEOUT_MS),
     );
     let limit = limit.max(BODY_LIMIT_MIN_BYTES);
-    let body = read_body(state, body, limit, timeout).await?;
+    let connection = parts.extensions.get();
+    let body = read_body(state, body, limit, timeout, connection).await?;
     let routing = match state.has_outdated_routes() {
         true => wait_for_update(state).await,
         false => routing,
@@ -166,8 +168,9 @@
     body: Incoming,
     limit: usize,
     timeout: Duration,
+    connection: Option<&SocketProbe>,
 ) -> Result<Bytes, Rejection> {
-    let read = body_reader::read_body(body, limit, timeout, &state.memory).await;
+    let read = body_reader::read_body(body, limit, timeout, &state.memory, connection).await;
     read.map_err(|error| match error {
         ReadError::TooLarge => Rejection::BodyTooLarge,
         ReadError::Stalled | ReadError::Broken(_) => Rejection::BodyTimeout,
--- a/src/gateway/server_bytes.rs
+++ b/src/gateway/server_bytes.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use crate::decide::memory_budget::SMALL_MAX_BYTES;
+use crate::decide::memory_plan::SMALL_MAX_BYTES;
 use crate::ids::ServerId;
 
 /// Part of the bound that large bodies leave to small ones.
--- a/src/http/body_reader.rs
+++ b/src/http/body_reader.rs
@@ -11,8 +11,12 @@
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 
-use crate::decide::memory_budget::{PROGRESS_BYTES, Purpose, SMALL_MAX_BYTES};
+use crate::decide::memory_budget::{PROGRESS_BYTES, Purpose};
+use crate::decide::memory_plan::{
+    EXTENDED_BODY_MIN_BYTES, EXTENDED_RECEIVE_BUFFER_BYTES, SMALL_MAX_BYTES,
+};
 use crate::http::memory::{Memory, MemoryShare};
+use crate::http::socket::SocketProbe;
 use crate::runtime::with_timeout;
 
 /// Room for a body of unknown length at its start: most bodies of the known sites are shorter.
@@ -112,12 +116,13 @@
 
 /// Reads a body of at most `max_bytes` within `timeout`. While there is no room for it, the body is
 /// not polled, so that its connection is not read. The bytes hold their share of `memory` until the
-/// last reference to them is dropped.
+/// last reference to them is dropped. `connection` is the one that the body arrives on.
 pub async fn read_body(
     body: Incoming,
     max_bytes: usize,
     timeout: Duration,
     memory: &Memory,
+    connection: Option<&SocketProbe>,
 ) -> Result<Bytes, ReadError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
@@ -127,7 +132,7 @@
         return Err(ReadError::TooLarge);
     }
     let mut share = memory.share(Purpose::Request);
-    let reading = read_into(body, announced, max_bytes, &mut share);
+    let reading = read_into(body, announced, max_bytes, &mut share, connection);
     let buffer = match with_timeout(timeout, reading).await {
         Some(buffer) => buffer?,
         None if share.is_waiting() => return Err(ReadError::NoMemory),
@@ -141,6 +146,7 @@
     announced: Option<usize>,
     max_bytes: usize,
     share: &mut MemoryShare,
+    mut unextended: Option<&SocketProbe>,
 ) -> Result<BodyBuffer, ReadError> {
     let mut room_bytes = announced.unwrap_or(FIRST_ROOM_BYTES.min(max_bytes));
     if !share.claim(room_bytes).await {
@@ -165,6 +171,11 @@
         if unrecorded_bytes >= PROGRESS_BYTES && room_bytes > SMALL_MAX_BYTES {
             unrecorded_bytes = 0;
             share.record_progress();
+            // Not before the first progress: the body may have got its room too late.
+            if let Some(connection) = unextended.take_if(|_| room_bytes >= EXTENDED_BODY_MIN_BYTES)
+            {
+                connection.set_receive_buffer(EXTENDED_RECEIVE_BUFFER_BYTES);
+            }
         }
     }
     Ok(buffer)
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// Receive buffer of a caller's connection. The system's own grows up to 6 MB for a connection that
-/// is not read; 128 KiB carry 1 Gbit/s at a round trip of 1 ms.
+/// Receive buffer that is requested for a connection whose bytes are read as they arrive. The system's
+/// own grows up to 6 MB if it is not read; 128 KiB carry 1 Gbit/s at a round trip of 1 ms.
 pub const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 
 /// Limits of a listener.
@@ -55,8 +55,12 @@
     pub idle_timeout: TimeLimit,
     /// Maximum number of open connections; further ones are refused and closed at once.
     pub connections_max: usize,
-    /// Size of the system's receive buffer of each connection; `None` leaves it to the system.
+    /// Receive buffer that is requested from the system for each connection; `None` leaves it to the
+    /// system.
     pub receive_buffer_bytes: Option<usize>,
+    /// Announced length of a body from which its connection is closed after the response, since its
+    /// receive buffer may have been extended.
+    pub close_from_body_bytes: Option<u64>,
 }
 
 impl Default for ServerLimits {
@@ -68,6 +72,7 @@
             idle_timeout: Duration::from_secs(60).into(),
             connections_max: 1024,
             receive_buffer_bytes: None,
+            close_from_body_bytes: None,
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -198,7 +198,7 @@
         progress.begin_request();
         let probe = SocketProbe::of(stream.clone());
         request.extensions_mut().insert(probe);
-        let is_last = must_close(&request);
+        let is_last = must_close(&request, limits);
         let knows_chunks = request.version() >= Version::HTTP_11;
         let wants_body = request.method() != Method::HEAD;
         // hyper reserves memory for this future in each connection, even an idle one. The box
@@ -290,6 +290,13 @@
 /// (6.1) requires closing the connection after such a request, since a proxy in front of this
 /// server may have split the bytes into requests differently. All chunked requests are treated as
 /// such.
-fn must_close(request: &Request<Incoming>) -> bool {
-    request.headers().contains_key(TRANSFER_ENCODING)
+///
+/// The system keeps the window that it has once announced, so that an extended receive buffer can
+/// fill up behind the body at any later time.
+fn must_close(request: &Request<Incoming>, limits: &ServerLimits) -> bool {
+    let announced_bytes = request.body().size_hint().exact().unwrap_or(0);
+    let is_extended = limits
+        .close_from_body_bytes
+        .is_some_and(|from| announced_bytes >= from);
+    is_extended || request.headers().contains_key(TRANSFER_ENCODING)
 }
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -15,6 +15,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::Async;
 use smol::net::TcpStream;
 
@@ -180,6 +181,16 @@
         is_polled && polled[0].revents().intersects(ended)
     }
 
+    /// Requests a receive buffer of this size from the system.
+    pub fn set_receive_buffer(&self, bytes: usize) {
+        let Some(stream) = self.0.upgrade() else {
+            return;
+        };
+        if let Err(error) = set_socket_recv_buffer_size(&*stream, bytes) {
+            log::warn!("event=socket_option_failed option=receive_buffer error=\"{error}\"");
+        }
+    }
+
     /// Whether the socket is open and has nothing to read. This makes a system call, since the
     /// server may have closed the connection without the socket's task having been woken yet.
     pub fn is_idle(&self) -> bool {
--- a/src/router.rs
+++ b/src/router.rs
@@ -309,6 +309,7 @@
         idle_timeout: Duration::from_millis(limits.idle_timeout_ms).into(),
         connections_max: limits.connections_max,
         receive_buffer_bytes: Some(RECEIVE_BUFFER_BYTES),
+        close_from_body_bytes: None,
     };
     let state = Arc::clone(app);
     Server::bind(
--- a/tests/untrusted_bytes.rs
+++ b/tests/untrusted_bytes.rs
@@ -88,8 +88,10 @@
     let serve = move |request: hyper::Request<hyper::body::Incoming>| {
         let memory = memory.clone();
         async move {
-            let body = request.into_body();
-            let (status, text) = match read_body(body, BODY_MAX_BYTES, timeout, &memory).await {
+            let (parts, body) = request.into_parts();
+            let connection = parts.extensions.get();
+            let read = read_body(body, BODY_MAX_BYTES, timeout, &memory, connection);
+            let (status, text) = match read.await {
                 Ok(bytes) => (StatusCode::OK, bytes.len().to_string()),
                 Err(ReadError::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, String::new()),
                 Err(_) => (StatusCode::BAD_REQUEST, String::new()),
