--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -21,7 +21,6 @@
 use crate::gateway::stream::{self, FirstHead};
 use crate::http::body_reader::{self, ReadError};
 use crate::http::framing::{joined_body_fields, whole_body_fields};
-use crate::http::socket::SocketProbe;
 use crate::http::{Body, full_body};
 use crate::ids::TeamId;
 
@@ -68,15 +67,7 @@
     arrived_ms: u64,
 ) -> Result<RoutedRequest, Rejection> {
     let routing = state.routing();
-    let limit = routing.as_ref().map_or(0, |r| r.limits.body_bytes);
-    let timeout = Duration::from_millis(
-        head.timeout_ms
-            .unwrap_or(BODY_TIMEOUT_MS)
-            .min(BODY_TIMEOUT_MS),
-    );
-    let limit = limit.max(BODY_LIMIT_MIN_BYTES);
-    let connection = parts.extensions.get();
-    let body = read_body(state, body, limit, timeout, connection).await?;
+    let body = read_body(state, routing.as_deref(), &parts, &head, body).await?;
     let routing = match state.has_outdated_routes() {
         true => wait_for_update(state).await,
         false => routing,
@@ -86,9 +77,8 @@
         None => wait_for_tables(state, head.timeout_ms).await?,
     };
     let id = head.request_id.clone().ok_or(Rejection::BadRequest)?;
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let route = routing.route(host.unwrap_or_default(), parts.uri.path());
-    let route = Arc::clone(route.ok_or(Rejection::UnknownRoute)?);
+    let route = find_route(&routing, &parts).ok_or(Rejection::UnknownRoute)?;
+    let route = Arc::clone(route);
     let owner = find_key_owner(&routing, &route, head.key.as_deref())?;
     let hash = match head.prompt {
         Some(prompt) => prompt.shared_hash,
@@ -163,15 +153,33 @@
 /// Minimum body limit, which also applies while no configuration is known.
 const BODY_LIMIT_MIN_BYTES: usize = 64 * 1024;
 
+/// Reads the body within the time that the caller and the route allow. The route counts as far as it
+/// is known: an update may still come while the body is read.
 async fn read_body(
     state: &State,
+    routing: Option<&RoutingTable>,
+    parts: &Parts,
+    head: &RequestHead,
     body: Incoming,
-    limit: usize,
-    timeout: Duration,
-    connection: Option<&SocketProbe>,
 ) -> Result<Bytes, Rejection> {
-    let read = body_reader::read_body(body, limit, timeout, &state.memory, connection).await;
-    read.map_err(|error| match error {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let route = routing.and_then(|routing| find_route(routing, parts));
+    let timeouts_ms = [head.timeout_ms, route.map(|route| route.timeout_ms)];
+    let timeout_ms = timeouts_ms
+        .into_iter()
+        .flatten()
+        .fold(BODY_TIMEOUT_MS, u64::min);
+    let limit = routing.map_or(0, |routing| routing.limits.body_bytes);
+    let read = body_reader::read_body(
+        body,
+        limit.max(BODY_LIMIT_MIN_BYTES),
+        Duration::from_millis(timeout_ms),
+        &state.memory,
+        parts.extensions.get(),
+    );
+    read.await.map_err(|error| match error {
         ReadError::TooLarge => Rejection::BodyTooLarge,
         ReadError::Stalled | ReadError::Broken(_) => Rejection::BodyTimeout,
         ReadError::NoMemory => Rejection::Memory {
@@ -180,6 +188,11 @@
     })
 }
 
+fn find_route<'a>(routing: &'a RoutingTable, parts: &Parts) -> Option<&'a Arc<Route>> {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    routing.route(host.unwrap_or_default(), parts.uri.path())
+}
+
 fn find_key_owner<'a>(
     routing: &'a RoutingTable,
     route: &Route,
