--- a/src/gateway/rejection.rs
+++ b/src/gateway/rejection.rs
@@ -19,6 +19,9 @@
     /// The body was not received completely in time, or the connection broke before its end.
     #[error("the body did not come whole in time; send it faster")]
     BodyTimeout,
+    /// The caller closed its connection while its body waited for memory.
+    #[error("the connection was closed before the body was read; keep it open")]
+    CallerGone,
     /// There was no memory for the body in time.
     #[error("the router has no memory for the body; retry after the pause")]
     Memory {
@@ -87,7 +90,7 @@
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTimeout | Self::CallerGone => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoConfiguration
@@ -111,6 +114,7 @@
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_timeout",
+            Self::CallerGone => "caller_gone",
             Self::Memory { .. } => "memory",
             Self::UnknownRoute => "unknown_route",
             Self::UnknownKey => "unknown_key",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -182,6 +182,7 @@
     read.await.map_err(|error| match error {
         ReadError::TooLarge => Rejection::BodyTooLarge,
         ReadError::Stalled | ReadError::Broken(_) => Rejection::BodyTimeout,
+        ReadError::CallerGone => Rejection::CallerGone,
         ReadError::NoMemory => Rejection::Memory {
             retry_after_ms: placement::random_retry_after_ms(),
         },
--- a/src/http/body_reader.rs
+++ b/src/http/body_reader.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt as _;
 use hyper::body::{Body as _, Incoming};
+use smol::Timer;
 
 use crate::decide::memory_budget::{PROGRESS_BYTES, Purpose};
 use crate::decide::memory_plan::{
@@ -25,6 +27,9 @@
 /// have to wait.
 const ROOM_FACTOR: usize = 4;
 
+/// Interval at which a body that waits for room checks whether its caller has left.
+const CONNECTION_CHECK: Duration = Duration::from_millis(250);
+
 /// Why a body was not read.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadError {
@@ -37,6 +42,9 @@
     /// There was no room for the body in time.
     #[error("there is no memory for the body")]
     NoMemory,
+    /// The caller closed its connection while the body waited for room.
+    #[error("the caller closed its connection")]
+    CallerGone,
     /// The connection failed, or its framing is not valid.
     #[error("the body could not be read: {0}")]
     Broken(#[from] hyper::Error),
@@ -146,12 +154,12 @@
     announced: Option<usize>,
     max_bytes: usize,
     share: &mut MemoryShare,
-    mut unextended: Option<&SocketProbe>,
+    connection: Option<&SocketProbe>,
 ) -> Result<BodyBuffer, ReadError> {
+    let mut unextended = connection;
+    let mut has_waited = false;
     let mut room_bytes = announced.unwrap_or(FIRST_ROOM_BYTES.min(max_bytes));
-    if !share.claim(room_bytes).await {
-        return Err(ReadError::NoMemory);
-    }
+    has_waited |= claim_room(share, room_bytes, connection).await?;
     let mut buffer = BodyBuffer::default();
     buffer.bytes.reserve_exact(announced.unwrap_or(0));
     let mut unrecorded_bytes = 0;
@@ -162,9 +170,7 @@
         }
         if length > room_bytes {
             room_bytes = (room_bytes * ROOM_FACTOR).max(length).min(max_bytes);
-            if !share.claim(room_bytes).await {
-                return Err(ReadError::NoMemory);
-            }
+            has_waited |= claim_room(share, room_bytes, connection).await?;
         }
         buffer.push(&part, room_bytes);
         unrecorded_bytes += part.len();
@@ -178,9 +184,38 @@
             }
         }
     }
+    // The end of the connection may have arrived behind the body.
+    if has_waited && connection.is_some_and(SocketProbe::has_peer_closed) {
+        return Err(ReadError::CallerGone);
+    }
     Ok(buffer)
 }
 
+/// Waits until there is room for `bytes` of the body in all; returns whether it had to wait. Nothing
+/// is read meanwhile, so that the end of the connection has to be looked for.
+async fn claim_room(
+    share: &mut MemoryShare,
+    bytes: usize,
+    connection: Option<&SocketProbe>,
+) -> Result<bool, ReadError> {
+    let mut has_waited = false;
+    let room = async {
+        match share.claim(bytes).await {
+            true => Ok(()),
+            false => Err(ReadError::NoMemory),
+        }
+    };
+    let end = async {
+        has_waited = true;
+        while !connection.is_some_and(SocketProbe::has_peer_closed) {
+            Timer::after(CONNECTION_CHECK).await;
+        }
+        Err(ReadError::CallerGone)
+    };
+    room.or(end).await?;
+    Ok(has_waited)
+}
+
 /// The next part of a body; `None` at its end.
 async fn next_part(body: &mut Incoming, share: &MemoryShare) -> Result<Option<Bytes>, ReadError> {
     loop {
