--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -144,6 +144,17 @@
         id
     }
 
+    /// Holds room for a response whose request has not been sent; false if there is none. Half of the
+    /// share of large responses is left to those that grow: one without room is lost, while a request
+    /// that was not sent can be refused.
+    pub fn try_reserve(&mut self, id: HolderId, bytes: usize) -> bool {
+        let large = Pool::LargeResponses as usize;
+        let small = Pool::SmallResponses as usize;
+        let has_room = self.used_bytes[small] + bytes <= self.max_bytes[small]
+            || self.used_bytes[large] + bytes <= self.max_bytes[large] / 2;
+        has_room && self.try_hold(id, bytes)
+    }
+
     /// Changes what a holder holds to `bytes` in all; false if there is no room.
     pub fn try_hold(&mut self, id: HolderId, bytes: usize) -> bool {
         let Some(holder) = self.holders.get(&id) else {
--- a/src/decide/memory_budget/tests.rs
+++ b/src/decide/memory_budget/tests.rs
@@ -147,3 +147,21 @@
     assert!(!budget.try_hold(id, usize::MAX));
     assert_eq!(budget.used_bytes(Purpose::Response), 10);
 }
+
+/// Guards against attempts that take the room of the responses which have begun.
+#[test]
+fn try_reserve_leaves_room_for_responses_that_grow() {
+    const RESERVED_BYTES: usize = 48 * 1024;
+    let mut budget = MemoryBudget::new(MEMORY_BYTES);
+    let mut reserved = Vec::new();
+    loop {
+        let id = budget.open(Purpose::Response, 0);
+        if !budget.try_reserve(id, RESERVED_BYTES) {
+            break;
+        }
+        reserved.push(id);
+    }
+    assert_eq!(reserved.len(), 2 * (MEMORY_BYTES / 16 / RESERVED_BYTES));
+    let grown_bytes = MEMORY_BYTES / 16;
+    assert!(budget.try_hold(reserved[0], grown_bytes));
+}
--- a/src/decide/memory_plan.rs
+++ b/src/decide/memory_plan.rs
@@ -59,6 +59,27 @@
 pub const EXTENDED_RECEIVE_BUFFER_BYTES: usize =
     EXTENDED_BODY_MIN_BYTES * EXTENDED_BUFFERS / LARGE_REQUESTS / SYSTEM_FACTOR;
 
+/// Receive buffer that is requested for a connection to a server.
+pub const SERVER_RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+/// Most bytes that a connection to a server holds by itself: what the system has received, and one
+/// read.
+const SERVER_CONNECTION_BYTES: usize = 16 * 1024 + SYSTEM_FACTOR * SERVER_RECEIVE_BUFFER_BYTES;
+/// Buffered bytes of a response that have room from the start. Responses of the known sites have
+/// under 5 KB.
+const RESERVED_RESPONSE_BYTES: usize = 16 * 1024;
+
+/// Memory that a response takes of which so many bytes are buffered, with that of its connection. An
+/// attempt has the memory of an empty response before it is sent.
+///
+/// ```
+/// use jujubeusher::decide::memory_plan::response_bytes;
+/// assert_eq!(response_bytes(5_000), response_bytes(0));
+/// assert_eq!(response_bytes(100_000), 100_000 + 32_768);
+/// ```
+pub fn response_bytes(buffered_bytes: usize) -> usize {
+    SERVER_CONNECTION_BYTES + buffered_bytes.max(RESERVED_RESPONSE_BYTES)
+}
+
 /// How the memory of a process is divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryPlan {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use crate::decide::allowance::HOLD_MS;
 use crate::decide::load::Report;
 use crate::decide::memory_budget::Purpose;
+use crate::decide::memory_plan::{EXTENDED_BODY_MIN_BYTES, response_bytes};
 use crate::decide::pause::Pause;
 use crate::decide::registry::Registration;
 use crate::gateway::event_source::{EventSource, StreamError, return_to_pool};
@@ -27,7 +28,7 @@
 use crate::http::framing;
 use crate::http::lazy_timer::LazyTimer;
 use crate::http::memory::MemoryShare;
-use crate::http::pool::SendError;
+use crate::http::pool::{Connection, SendError};
 use crate::http::raw_events::RawEventDecoder;
 use crate::ids::RunState;
 use crate::runtime::with_timeout;
@@ -171,6 +172,11 @@
         let reason = "the server holds as many bytes of requests as it may from this router";
         Failure::new(FailureKind::Withheld, reason)
     })?;
+    let mut memory = state.memory.share(Purpose::Response);
+    if !memory.try_reserve(response_bytes(0)) {
+        let reason = "there is no memory for the response";
+        return Err(Failure::new(FailureKind::NoResources, reason));
+    }
     let request = encode(state, routed, server, limits)?;
     let remaining = Duration::from_millis(limits.remaining_ms);
     let timed_out = || Failure::new(FailureKind::Timeout, "no response in time");
@@ -187,19 +193,20 @@
         state.pool.send_if(server.address, request, may_send)
     });
     let outcome = probe_while_silent(state, server, sending).await;
-    let (response, connection) = outcome
-        .ok_or_else(timed_out)?
-        .map_err(|error| match error {
-            SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
-            SendError::ConnectionLimit => Failure::new(FailureKind::ConnectionLimit, error),
-            SendError::NoResources(_) => Failure::new(FailureKind::NoResources, error),
-            SendError::Withheld => Failure::new(FailureKind::Withheld, error),
-            // The server responds, so that it has not crashed.
-            SendError::Broken(error) if error.is_parse() => {
-                Failure::new(FailureKind::Foreign, error)
-            }
-            SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
-        })?;
+    let (response, mut connection) =
+        outcome
+            .ok_or_else(timed_out)?
+            .map_err(|error| match error {
+                SendError::NotSent(reason) => Failure::new(FailureKind::Connect, reason),
+                SendError::ConnectionLimit => Failure::new(FailureKind::ConnectionLimit, error),
+                SendError::NoResources(_) => Failure::new(FailureKind::NoResources, error),
+                SendError::Withheld => Failure::new(FailureKind::Withheld, error),
+                // The server responds, so that it has not crashed.
+                SendError::Broken(error) if error.is_parse() => {
+                    Failure::new(FailureKind::Foreign, error)
+                }
+                SendError::Broken(error) => Failure::new(FailureKind::Broken, error),
+            })?;
     last_activity.record(state.now_ms());
     let (head, body) = response.into_parts();
     if !framing::is_valid_status(head.status) {
@@ -239,7 +246,7 @@
                 timer: LazyTimer::default(),
                 first: VecDeque::new(),
                 read_ahead: None,
-                memory: state.memory.share(Purpose::Response),
+                memory,
                 keep_alive: response_head.keep_alive,
                 _load: load_ticket,
                 _bytes: bytes_ticket,
@@ -260,13 +267,12 @@
         false => {
             let elapsed_ms = state.now_ms().saturating_sub(started_ms);
             let remaining = Duration::from_millis(limits.remaining_ms.saturating_sub(elapsed_ms));
-            let memory = state.memory.share(Purpose::Response);
             let record = |now_ms| {
                 progress.record(now_ms);
                 last_activity.record(now_ms);
             };
             record(state.now_ms());
-            let reading = read_body(body, memory, || record(state.now_ms()));
+            let reading = read_body(body, &mut connection, memory, || record(state.now_ms()));
             let reading = with_timeout(remaining, reading);
             let read = probe_while_silent(state, server, reading).await;
             let bytes = read.ok_or_else(timed_out)??;
@@ -442,6 +448,7 @@
 /// Reads a whole body; calls `on_data` whenever a part of it arrives.
 async fn read_body<D>(
     mut body: Incoming,
+    connection: &mut Connection,
     mut memory: MemoryShare,
     on_data: D,
 ) -> Result<Bytes, Failure>
@@ -459,12 +466,15 @@
             let reason = format!("the response is larger than {RESPONSE_MAX_BYTES} bytes");
             return Err(Failure::new(FailureKind::Foreign, reason));
         }
-        if !memory.try_hold(length) {
+        if !memory.try_hold(response_bytes(length)) {
             let reason =
                 format!("the response has {length} bytes, and the memory for responses is used up");
             return Err(Failure::new(FailureKind::Foreign, reason));
         }
         buffer.push(part, RESPONSE_MAX_BYTES);
+        if length >= EXTENDED_BODY_MIN_BYTES {
+            connection.extend_receive_buffer();
+        }
         on_data();
     }
     // The share is held until the caller has received the bytes, however slowly it reads.
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::control::load::LoadTicket;
+use crate::decide::memory_plan::response_bytes;
 use crate::decide::registry::Registration;
 use crate::edge::clock::Clock;
 use crate::gateway::prompts_in_flight::PromptGuard;
@@ -128,7 +129,8 @@
             if let Some(event) = self.events.next_event().map_err(|_| StreamError::Broken)? {
                 return Ok(Some(event));
             }
-            if !self.memory.try_hold(self.events.buffered_bytes()) {
+            let held_bytes = response_bytes(self.events.buffered_bytes());
+            if !self.memory.try_hold(held_bytes) {
                 return Err(StreamError::Broken);
             }
             let elapsed_ms = self.clock.monotonic_ms().saturating_sub(started_ms);
--- a/src/http/memory.rs
+++ b/src/http/memory.rs
@@ -113,6 +113,16 @@
         self.memory.0.inner.lock().budget.try_hold(self.id, bytes)
     }
 
+    /// Holds `bytes` for a response whose request has not been sent; false if there is no room.
+    pub fn try_reserve(&mut self, bytes: usize) -> bool {
+        self.memory
+            .0
+            .inner
+            .lock()
+            .budget
+            .try_reserve(self.id, bytes)
+    }
+
     /// Waits until `bytes` in all are held; false if the body was refused to make room for others.
     pub async fn claim(&mut self, bytes: usize) -> bool {
         let mut checks: Option<Timer> = None;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use smol::net::TcpStream;
 
+use crate::decide::memory_plan::{EXTENDED_RECEIVE_BUFFER_BYTES, SERVER_RECEIVE_BUFFER_BYTES};
 use crate::http::connect_failure::ConnectFailure;
 use crate::http::socket::{Socket, SocketProbe};
 use crate::runtime::Runtime;
@@ -56,6 +57,8 @@
     socket: SocketProbe,
     /// Number of response heads received on it.
     responses: u32,
+    /// Whether its receive buffer was extended. It cannot be made small again.
+    is_extended: bool,
 }
 
 impl Connection {
@@ -65,6 +68,15 @@
         self.responses == 1
     }
 
+    /// Lets the system receive more at once of a large response that has its memory. The connection is
+    /// closed after the response.
+    pub fn extend_receive_buffer(&mut self) {
+        if !std::mem::replace(&mut self.is_extended, true) {
+            self.socket
+                .set_receive_buffer(EXTENDED_RECEIVE_BUFFER_BYTES);
+        }
+    }
+
     /// Whether a request may be sent now. The socket is probed as well, since a request could
     /// otherwise be written to a connection that the server has closed, and count as sent.
     fn is_ready(&self) -> bool {
@@ -174,6 +186,7 @@
         let round_trip = start.elapsed();
         let socket = Socket::to_server(stream);
         let probe = socket.probe();
+        probe.set_receive_buffer(SERVER_RECEIVE_BUFFER_BYTES);
         if let Some(reset_wait) = self.reset_wait {
             smol::Timer::after(round_trip.min(ROUND_TRIP_MAX) + reset_wait).await;
             if !probe.is_idle() {
@@ -193,6 +206,7 @@
             sender,
             socket: probe,
             responses: 0,
+            is_extended: false,
         })
     }
 
@@ -264,7 +278,7 @@
 
     /// Returns a connection to the pool for at most `idle_timeout`, the time for which the server
     /// keeps idle connections open. It is closed instead if `idle_max` connections to the address
-    /// are already idle.
+    /// are already idle, or if its receive buffer was extended.
     pub fn release_with_limits(
         &self,
         address: SocketAddr,
@@ -274,7 +288,7 @@
     ) {
         let mut shard = self.shard().lock();
         let idle = shard.entry(address).or_default();
-        if idle.len() < idle_max.min(IDLE_MAX) {
+        if idle.len() < idle_max.min(IDLE_MAX) && !connection.is_extended {
             idle.push(Idle {
                 connection,
                 expires_at: Instant::now() + idle_timeout.min(IDLE_TIMEOUT),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -27,7 +27,7 @@
 /// lies behind it: 529 MB after three waves of 80 bodies of 4 MiB. Buffers of connections are smaller
 /// than this value, so that they cost no system calls.
 #[cfg(target_env = "gnu")]
-const SEPARATE_BLOCK_BYTES: libc::c_int = 32 * 1024;
+const SEPARATE_BLOCK_BYTES: libc::c_int = 48 * 1024;
 
 /// Makes the allocator return the memory of large bodies to the system. Call it once at the start of
 /// the process.
