--- a/src/http/body_reader.rs
+++ b/src/http/body_reader.rs
@@ -15,16 +15,21 @@
 
 use crate::decide::memory_budget::{PROGRESS_BYTES, Purpose};
 use crate::decide::memory_plan::{
-    EXTENDED_BODY_MIN_BYTES, EXTENDED_RECEIVE_BUFFER_BYTES, SMALL_MAX_BYTES,
+    CALLER_READ_BUFFER_BYTES, EXTENDED_BODY_MIN_BYTES, EXTENDED_RECEIVE_BUFFER_BYTES,
+    SMALL_MAX_BYTES,
 };
 use crate::http::memory::{Memory, MemoryShare};
 use crate::http::socket::SocketProbe;
 use crate::runtime::with_timeout;
 
-/// Room for a body of unknown length at its start: most bodies of the known sites are shorter.
-const FIRST_ROOM_BYTES: usize = 4 * 1024;
-/// Factor by which the room of a body of unknown length grows: five steps to 4 MiB, each of which may
-/// have to wait.
+/// Bytes of a body of unknown length that are received beyond what has been read of it: a part that was
+/// handed over, and one that waits in its connection.
+const PARTS_AHEAD_BYTES: usize = 2 * CALLER_READ_BUFFER_BYTES;
+/// Room for a body of unknown length at its start: most bodies of the known sites are shorter than
+/// 4 KiB.
+const FIRST_ROOM_BYTES: usize = 4 * 1024 + PARTS_AHEAD_BYTES;
+/// Factor by which the room of a body of unknown length grows beyond the size of a small one: three
+/// steps to 4 MiB, each of which may have to wait.
 const ROOM_FACTOR: usize = 4;
 
 /// Interval at which a body that waits for room checks whether its caller has left.
@@ -158,7 +163,12 @@
 ) -> Result<BodyBuffer, ReadError> {
     let mut unextended = connection;
     let mut has_waited = false;
-    let mut room_bytes = announced.unwrap_or(FIRST_ROOM_BYTES.min(max_bytes));
+    let ahead_bytes = match announced {
+        Some(_) => 0,
+        None => PARTS_AHEAD_BYTES,
+    };
+    let room_max_bytes = max_bytes.saturating_add(ahead_bytes);
+    let mut room_bytes = announced.unwrap_or(FIRST_ROOM_BYTES.min(room_max_bytes));
     has_waited |= claim_room(share, room_bytes, connection).await?;
     let mut buffer = BodyBuffer::default();
     buffer.bytes.reserve_exact(announced.unwrap_or(0));
@@ -168,12 +178,15 @@
         if length > max_bytes {
             return Err(ReadError::TooLarge);
         }
-        if length > room_bytes {
-            room_bytes = (room_bytes * ROOM_FACTOR).max(length).min(max_bytes);
+        buffer.push(&part, room_bytes - ahead_bytes);
+        unrecorded_bytes += part.len();
+        drop(part);
+        // Before the body is polled again, since its connection then reads on.
+        let needed_bytes = length + ahead_bytes;
+        if needed_bytes > room_bytes {
+            room_bytes = next_room(room_bytes).max(needed_bytes).min(room_max_bytes);
             has_waited |= claim_room(share, room_bytes, connection).await?;
         }
-        buffer.push(&part, room_bytes);
-        unrecorded_bytes += part.len();
         if unrecorded_bytes >= PROGRESS_BYTES && room_bytes > SMALL_MAX_BYTES {
             unrecorded_bytes = 0;
             share.record_progress();
@@ -191,6 +204,14 @@
     Ok(buffer)
 }
 
+/// Room for a body of unknown length that needs more than `room_bytes`.
+fn next_room(room_bytes: usize) -> usize {
+    match room_bytes < SMALL_MAX_BYTES {
+        true => SMALL_MAX_BYTES,
+        false => room_bytes * ROOM_FACTOR,
+    }
+}
+
 /// Waits until there is room for `bytes` of the body in all; returns whether it had to wait. Nothing
 /// is read meanwhile, so that the end of the connection has to be looked for.
 async fn claim_room(
