--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -255,12 +255,24 @@
     }
 }
 
+/// Maximum number of connections to each address for the platform and operators, who open one at a
+/// time.
+const OPERATOR_CONNECTIONS_MAX: usize = 64;
+
+fn operator_limits() -> ServerLimits {
+    ServerLimits {
+        connections_max: OPERATOR_CONNECTIONS_MAX,
+        receive_buffer_bytes: Some(CALLER_RECEIVE_BUFFER_BYTES),
+        ..ServerLimits::default()
+    }
+}
+
 fn bind_ready(state: &Arc<State>) -> Result<Server> {
     let shared = Arc::clone(state);
     Server::bind(
         &state.runtime,
         state.settings().ready,
-        ServerLimits::default(),
+        operator_limits(),
         move |_| {
             let response = match shared.is_ready() {
                 true => text_response(StatusCode::OK, "ready\n"),
@@ -277,7 +289,7 @@
     Server::bind(
         &state.runtime,
         state.settings().admin,
-        ServerLimits::default(),
+        operator_limits(),
         move |request| {
             let response = match request.uri().path() {
                 "/metrics" => text_response(StatusCode::OK, shared.render_metrics()),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,9 +23,11 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::decide::fleet_counts::Scope;
+use crate::decide::memory_plan::CALLER_RECEIVE_BUFFER_BYTES;
 use crate::decide::relay_tree::{Admission, RelayTree, Subscriber};
 use crate::error::{Error, Result};
 use crate::gateway::mirror::Mirror;
@@ -153,7 +155,11 @@
     };
     let address = settings.listen;
     let listener = std::net::TcpListener::bind(address)
-        .and_then(smol::Async::new)
+        .and_then(|listener| {
+            // Accepted sockets inherit it: any host may connect, and other routers send little.
+            set_socket_recv_buffer_size(&listener, CALLER_RECEIVE_BUFFER_BYTES)?;
+            smol::Async::new(listener)
+        })
         .map_err(|source| Error::Listen { address, source })?;
     let zone = state.settings().zone.clone();
     let relay = Arc::new(Relay {
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -13,10 +13,12 @@
 use hyper::{Request, Response};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::net::TcpStream;
 
 use crate::decide::memory_plan::{EXTENDED_RECEIVE_BUFFER_BYTES, SERVER_RECEIVE_BUFFER_BYTES};
 use crate::http::connect_failure::ConnectFailure;
+use crate::http::limits::RECEIVE_BUFFER_BYTES;
 use crate::http::socket::{Socket, SocketProbe};
 use crate::runtime::Runtime;
 
@@ -36,11 +38,21 @@
 /// take a second, which says nothing about the round trip.
 const ROUND_TRIP_MAX: Duration = Duration::from_millis(20);
 
-/// Opens a TCP connection with Nagle's algorithm disabled, or fails after `timeout`.
+/// Opens a TCP connection with Nagle's algorithm disabled and a receive buffer of fixed size, or fails
+/// after `timeout`.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    connect_buffered(address, timeout, RECEIVE_BUFFER_BYTES).await
+}
+
+async fn connect_buffered(
+    address: SocketAddr,
+    timeout: Duration,
+    receive_buffer_bytes: usize,
+) -> io::Result<TcpStream> {
     let open = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        set_socket_recv_buffer_size(&stream, receive_buffer_bytes)?;
         Ok(stream)
     };
     let limit = async {
@@ -182,11 +194,11 @@
     /// Opens a new connection.
     pub async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         let start = Instant::now();
-        let stream = connect(address, self.connect_timeout).await?;
+        let stream =
+            connect_buffered(address, self.connect_timeout, SERVER_RECEIVE_BUFFER_BYTES).await?;
         let round_trip = start.elapsed();
         let socket = Socket::to_server(stream);
         let probe = socket.probe();
-        probe.set_receive_buffer(SERVER_RECEIVE_BUFFER_BYTES);
         if let Some(reset_wait) = self.reset_wait {
             smol::Timer::after(round_trip.min(ROUND_TRIP_MAX) + reset_wait).await;
             if !probe.is_idle() {
