--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::config::routing::{KeyOwner, Route, RoutingTable};
+use crate::decide::memory_plan::SMALL_MAX_BYTES;
 use crate::decide::strikes::Fingerprint;
 use crate::gateway::attempt::ResponseBody;
 use crate::gateway::attempts::run_attempts;
@@ -57,7 +58,7 @@
     }
 }
 
-/// Reads and routes a request. The body is read first, since a response before its end would cost
+/// Reads and routes a request. A small body is read first, since a response before its end would cost
 /// the caller the connection.
 async fn read_and_route(
     state: &State,
@@ -67,6 +68,9 @@
     arrived_ms: u64,
 ) -> Result<RoutedRequest, Rejection> {
     let routing = state.routing();
+    if is_large(&body) && !state.has_outdated_routes() {
+        check_allowed(routing.as_deref(), &parts, &head)?;
+    }
     let body = read_body(state, routing.as_deref(), &parts, &head, body).await?;
     let routing = match state.has_outdated_routes() {
         true => wait_for_update(state).await,
@@ -113,6 +117,26 @@
     })
 }
 
+/// Whether a body may take the memory of large ones.
+fn is_large(body: &Incoming) -> bool {
+    let announced_bytes = body_reader::announced_bytes(body);
+    announced_bytes.is_none_or(|bytes| bytes > SMALL_MAX_BYTES)
+}
+
+/// Fails if the configuration, as far as it is known, does not allow the request.
+fn check_allowed(
+    routing: Option<&RoutingTable>,
+    parts: &Parts,
+    head: &RequestHead,
+) -> Result<(), Rejection> {
+    let Some(routing) = routing else {
+        return Ok(());
+    };
+    let route = find_route(routing, parts).ok_or(Rejection::UnknownRoute)?;
+    find_key_owner(routing, route, head.key.as_deref())?;
+    Ok(())
+}
+
 /// Longest time that a request waits for the tables of a router that has just started: most receive
 /// them within 300 ms.
 const TABLES_WAIT_MS: u64 = 500;
