--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -13,7 +13,6 @@
 use hyper::{Request, Response};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::net::TcpStream;
 
 use crate::decide::memory_plan::{EXTENDED_RECEIVE_BUFFER_BYTES, SERVER_RECEIVE_BUFFER_BYTES};
@@ -21,6 +20,7 @@
 use crate::http::limits::RECEIVE_BUFFER_BYTES;
 use crate::http::socket::{Socket, SocketProbe};
 use crate::runtime::Runtime;
+use crate::tcp;
 
 #[cfg(test)]
 mod tests;
@@ -49,12 +49,7 @@
     timeout: Duration,
     receive_buffer_bytes: usize,
 ) -> io::Result<TcpStream> {
-    let open = async {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        set_socket_recv_buffer_size(&stream, receive_buffer_bytes)?;
-        Ok(stream)
-    };
+    let open = tcp::connect(address, None, Some(receive_buffer_bytes));
     let limit = async {
         smol::Timer::after(timeout).await;
         Err(io::Error::from(io::ErrorKind::TimedOut))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod router;
 pub mod runtime;
 pub mod signals;
+pub mod tcp;
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -8,7 +8,6 @@
 use futures_lite::FutureExt;
 use smol::Async;
 use smol::net::TcpStream;
-use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::error::{Error, Result};
 use crate::peer::frame::{FrameReader, FrameWriter, LinkError, Side, handshake};
@@ -16,6 +15,7 @@
 use crate::peer::outbox::{Outbox, Wakeups};
 use crate::peer::row::ConfigPush;
 use crate::peer::wire;
+use crate::tcp;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -37,25 +37,8 @@
 /// Opens a connection with the source address `from`, so that firewalls can identify peers by
 /// address.
 async fn connect(from: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
-    let open = async {
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-        if !from.is_unspecified() && from.is_ipv4() == to.is_ipv4() {
-            socket.bind(&SocketAddr::new(from, 0).into())?;
-        }
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        match socket.connect(&to.into()) {
-            Ok(()) => {}
-            Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
-            Err(error) => return Err(error),
-        }
-        let stream = Async::new(std::net::TcpStream::from(socket))?;
-        stream.writable().await?;
-        match stream.get_ref().take_error()? {
-            None => Ok(TcpStream::from(stream)),
-            Some(error) => Err(error),
-        }
-    };
+    let is_usable = !from.is_unspecified() && from.is_ipv4() == to.is_ipv4();
+    let open = tcp::connect(to, is_usable.then_some(from), None);
     let limit = async {
         smol::Timer::after(CONNECT_TIMEOUT).await;
         Err(std::io::Error::from(std::io::ErrorKind::TimedOut))
@@ -63,9 +46,6 @@
     open.or(limit).await
 }
 
-/// Error number on Linux for a non-blocking `connect` that has not completed yet.
-const EINPROGRESS: i32 = 115;
-
 /// Dials an address and runs the link until it ends. `name` is the router that is expected
 /// there, if known.
 pub async fn dial(node: Arc<PeerNode>, name: Option<String>, address: SocketAddr) {
