--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -76,7 +76,10 @@
     wanted_bytes: Option<usize>,
     is_receiving: bool,
     is_refused: bool,
+    /// Time at which it got its room, or had progressed by [`PROGRESS_BYTES`] since.
     progress_ms: u64,
+    /// Time at which it got its room, or a part of it arrived since.
+    received_ms: u64,
 }
 
 /// The memory that requests and responses hold.
@@ -139,6 +142,7 @@
             is_receiving: purpose == Purpose::Request,
             is_refused: false,
             progress_ms: now_ms,
+            received_ms: now_ms,
         };
         self.holders.insert(id, holder);
         id
@@ -220,8 +224,16 @@
         self.waiting.front() == Some(&id)
     }
 
-    /// Records that more of a body has arrived; false if it was refused.
+    /// Records that a part of a body has arrived.
+    pub fn record_part(&mut self, id: HolderId, now_ms: u64) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.received_ms = now_ms;
+        }
+    }
+
+    /// Records that a body has progressed; false if it was refused.
     pub fn record_progress(&mut self, id: HolderId, now_ms: u64) -> bool {
+        self.record_part(id, now_ms);
         let Some(holder) = self.holders.get_mut(&id) else {
             return false;
         };
@@ -282,34 +294,54 @@
         if let Some(holder) = self.holders.get_mut(&id).filter(|_| is_held) {
             holder.wanted_bytes = None;
             holder.progress_ms = now_ms;
+            holder.received_ms = now_ms;
         }
         is_held
     }
 
-    /// Refuses the body with the longest time without progress, if another one waits for room and it
-    /// has not progressed for [`STALL_MS`]. One that does not come is refused before one that waits
-    /// for room itself. Its room is free once it is closed.
-    pub fn refuse_stalled(&mut self, now_ms: u64) -> Option<HolderId> {
-        self.waiting.front()?;
+    /// Refuses bodies without progress for [`STALL_MS`] while others wait for room; their room is free
+    /// once they are closed. Of those from which nothing has come, as many are refused as the bodies
+    /// that wait need; of those that come slowly, one at a time, the one with the longest time without
+    /// progress. Bodies that wait for room themselves are refused last.
+    pub fn refuse_stalled(&mut self, now_ms: u64) -> Vec<HolderId> {
+        let is_first_small = self.waiting.front().is_some_and(|first| {
+            let wanted_bytes = self.holders.get(first).and_then(|h| h.wanted_bytes);
+            wanted_bytes.is_some_and(|bytes| bytes <= SMALL_MAX_BYTES)
+        });
+        let is_of_use = |holder: &Holder| {
+            holder.is_receiving && (holder.pool == Pool::LargeRequests || is_first_small)
+        };
+        let wanted = self.holders.values().filter_map(|h| h.wanted_bytes);
+        let wanted_bytes: usize = wanted.sum();
+        let refused = self.holders.values().filter(|holder| holder.is_refused);
+        let mut freed_bytes: usize = refused.map(|holder| holder.held_bytes).sum();
+        let mut refused = Vec::new();
+        for (id, holder) in &mut self.holders {
+            let is_silent = now_ms >= holder.received_ms + STALL_MS;
+            let is_candidate = is_of_use(holder) && is_silent && !holder.is_refused;
+            if is_candidate && holder.wanted_bytes.is_none() && freed_bytes < wanted_bytes {
+                holder.is_refused = true;
+                freed_bytes += holder.held_bytes;
+                refused.push(*id);
+            }
+        }
+        if freed_bytes > 0 || self.waiting.is_empty() {
+            return refused;
+        }
         // The room of the only one that waits is of use to no other.
         let may_refuse_waiting = self.waiting.len() > 1;
         let is_candidate = |holder: &Holder| {
-            holder.is_receiving
+            is_of_use(holder)
                 && (holder.wanted_bytes.is_none() || may_refuse_waiting)
-                && holder.pool == Pool::LargeRequests
                 && now_ms >= holder.progress_ms + STALL_MS
         };
-        if self.holders.values().any(|holder| holder.is_refused) {
-            return None;
-        }
         let candidates = self.holders.iter_mut().filter(|(_, h)| is_candidate(h));
-        let (id, holder) =
-            candidates.min_by_key(|(_, h)| (h.wanted_bytes.is_some(), h.progress_ms))?;
-        holder.is_refused = true;
-        if holder.wanted_bytes.is_some() {
-            let id = *id;
-            self.waiting.retain(|waiting| *waiting != id);
+        let slowest = candidates.min_by_key(|(_, h)| (h.wanted_bytes.is_some(), h.progress_ms));
+        if let Some((id, holder)) = slowest {
+            holder.is_refused = true;
+            refused.push(*id);
         }
-        Some(*id)
+        self.waiting.retain(|waiting| !refused.contains(waiting));
+        refused
     }
 }
--- a/src/decide/memory_budget/tests.rs
+++ b/src/decide/memory_budget/tests.rs
@@ -31,11 +31,11 @@
         budget.open(Purpose::Request, 0),
     );
     assert_eq!(budget.claim(slow, LARGE_BYTES, 0), Room::Held);
-    assert_eq!(budget.refuse_stalled(STALL_MS), None, "nobody waits");
+    assert_eq!(budget.refuse_stalled(STALL_MS), [], "nobody waits");
     assert_eq!(budget.claim(waiting, LARGE_BYTES, 0), Room::Wait);
     assert!(budget.record_progress(slow, 100));
-    assert_eq!(budget.refuse_stalled(99 + STALL_MS), None);
-    assert_eq!(budget.refuse_stalled(100 + STALL_MS), Some(slow));
+    assert_eq!(budget.refuse_stalled(99 + STALL_MS), []);
+    assert_eq!(budget.refuse_stalled(100 + STALL_MS), [slow]);
     assert!(!budget.record_progress(slow, 700));
     assert!(budget.is_first_waiting(waiting) && !budget.is_first_waiting(slow));
     assert_eq!(budget.close(slow, 700), [waiting]);
@@ -54,7 +54,7 @@
     for id in &ids {
         assert_eq!(budget.claim(*id, 2 << 20, 1), Room::Wait);
     }
-    let refused = budget.refuse_stalled(STALL_MS).unwrap();
+    let refused = budget.refuse_stalled(STALL_MS)[0];
     assert_eq!(budget.claim(refused, 2 << 20, STALL_MS), Room::Refused);
     assert_eq!(budget.close(refused, STALL_MS).len(), 1);
 }
@@ -70,7 +70,7 @@
     assert_eq!(budget.claim(done, LARGE_BYTES, 0), Room::Held);
     budget.complete(done, LARGE_BYTES, 0);
     assert_eq!(budget.claim(waiting, LARGE_BYTES, 0), Room::Wait);
-    assert_eq!(budget.refuse_stalled(10_000), None);
+    assert_eq!(budget.refuse_stalled(10_000), []);
 }
 
 /// Guards against a body in chunks that is refused while it waits for more room and no other body
@@ -86,7 +86,7 @@
     budget.complete(done, 3 << 20, 0);
     assert_eq!(budget.claim(growing, 1 << 20, 0), Room::Held);
     assert_eq!(budget.claim(growing, 2 << 20, 0), Room::Wait);
-    assert_eq!(budget.refuse_stalled(2 * STALL_MS), None);
+    assert_eq!(budget.refuse_stalled(2 * STALL_MS), []);
     assert_eq!(budget.close(done, 2 * STALL_MS), [growing]);
     assert_eq!(budget.claim(growing, 2 << 20, 2 * STALL_MS), Room::Held);
 }
@@ -100,9 +100,9 @@
     assert_eq!(budget.claim(ids[0], 2 << 20, 0), Room::Held);
     assert_eq!(budget.claim(ids[1], 2 << 20, 1), Room::Held);
     assert_eq!(budget.claim(ids[2], 2 << 20, 1), Room::Wait);
-    assert_eq!(budget.refuse_stalled(STALL_MS), Some(ids[0]));
+    assert_eq!(budget.refuse_stalled(STALL_MS), [ids[0]]);
     budget.complete(ids[0], 2 << 20, STALL_MS);
-    assert_eq!(budget.refuse_stalled(1 + STALL_MS), Some(ids[1]));
+    assert_eq!(budget.refuse_stalled(1 + STALL_MS), [ids[1]]);
 }
 
 /// Guards against a legal body that a small host never receives.
@@ -165,3 +165,46 @@
     let grown_bytes = MEMORY_BYTES / 16;
     assert!(budget.try_hold(reserved[0], grown_bytes));
 }
+
+/// Guards against small bodies that stop coming and keep the memory of other small ones.
+#[test]
+fn refuse_stalled_small_body_makes_room_for_a_small_one() {
+    let mut budget = MemoryBudget::new(MEMORY_BYTES);
+    let mut held = Vec::new();
+    let waiting = loop {
+        let id = budget.open(Purpose::Request, 0);
+        match budget.claim(id, SMALL_MAX_BYTES, 0) {
+            Room::Held => held.push(id),
+            _ => break id,
+        }
+    };
+    for id in &held {
+        assert!(budget.record_progress(*id, STALL_MS));
+    }
+    assert_eq!(budget.refuse_stalled(2 * STALL_MS - 1), []);
+    assert_eq!(budget.refuse_stalled(2 * STALL_MS), [held[0]]);
+    assert_eq!(budget.close(held[0], 2 * STALL_MS), [waiting]);
+}
+
+/// Guards against many bodies from which nothing comes any more, and which are refused one by one
+/// while ordinary callers wait.
+#[test]
+fn refuse_stalled_silent_bodies_make_room_for_all_that_wait() {
+    let mut budget = MemoryBudget::new(MEMORY_BYTES);
+    let mut held = Vec::new();
+    let mut waiting = Vec::new();
+    while waiting.len() < 10 {
+        let id = budget.open(Purpose::Request, 0);
+        match budget.claim(id, SMALL_MAX_BYTES, 0) {
+            Room::Held => held.push(id),
+            _ => waiting.push(id),
+        }
+    }
+    budget.record_part(held[0], 1);
+    assert_eq!(budget.refuse_stalled(STALL_MS - 1), []);
+    assert_eq!(budget.refuse_stalled(STALL_MS), held[1..=10]);
+    assert_eq!(budget.refuse_stalled(STALL_MS), [], "enough will be free");
+    for (id, next) in held[1..=10].iter().zip(waiting) {
+        assert_eq!(budget.close(*id, STALL_MS), [next]);
+    }
+}
--- a/src/http/body_reader.rs
+++ b/src/http/body_reader.rs
@@ -22,14 +22,14 @@
 use crate::http::socket::SocketProbe;
 use crate::runtime::with_timeout;
 
-/// Bytes of a body of unknown length that are received beyond what has been read of it: a part that was
-/// handed over, and one that waits in its connection.
-const PARTS_AHEAD_BYTES: usize = 2 * CALLER_READ_BUFFER_BYTES;
-/// Room for a body of unknown length at its start: most bodies of the known sites are shorter than
-/// 4 KiB.
-const FIRST_ROOM_BYTES: usize = 4 * 1024 + PARTS_AHEAD_BYTES;
-/// Factor by which the room of a body of unknown length grows beyond the size of a small one: three
-/// steps to 4 MiB, each of which may have to wait.
+/// Bytes of a body of unknown length that are received beyond what has been read of it: its connection
+/// reads one part ahead.
+const AHEAD_BYTES: usize = CALLER_READ_BUFFER_BYTES;
+/// Bytes of a body of unknown length that have room at its start: most bodies of the known sites are
+/// shorter.
+const FIRST_PART_BYTES: usize = 4 * 1024;
+/// Factor by which the room of a body of unknown length grows: five steps to 4 MiB, each of which may
+/// have to wait.
 const ROOM_FACTOR: usize = 4;
 
 /// Interval at which a body that waits for room checks whether its caller has left.
@@ -165,10 +165,9 @@
     let mut has_waited = false;
     let ahead_bytes = match announced {
         Some(_) => 0,
-        None => PARTS_AHEAD_BYTES,
+        None => AHEAD_BYTES,
     };
-    let room_max_bytes = max_bytes.saturating_add(ahead_bytes);
-    let mut room_bytes = announced.unwrap_or(FIRST_ROOM_BYTES.min(room_max_bytes));
+    let mut room_bytes = announced.unwrap_or(room_for(0, max_bytes));
     has_waited |= claim_room(share, room_bytes, connection).await?;
     let mut buffer = BodyBuffer::default();
     buffer.bytes.reserve_exact(announced.unwrap_or(0));
@@ -178,16 +177,17 @@
         if length > max_bytes {
             return Err(ReadError::TooLarge);
         }
+        share.record_part();
         buffer.push(&part, room_bytes - ahead_bytes);
         unrecorded_bytes += part.len();
         drop(part);
         // Before the body is polled again, since its connection then reads on.
         let needed_bytes = length + ahead_bytes;
         if needed_bytes > room_bytes {
-            room_bytes = next_room(room_bytes).max(needed_bytes).min(room_max_bytes);
+            room_bytes = room_for(length, max_bytes);
             has_waited |= claim_room(share, room_bytes, connection).await?;
         }
-        if unrecorded_bytes >= PROGRESS_BYTES && room_bytes > SMALL_MAX_BYTES {
+        if unrecorded_bytes >= PROGRESS_BYTES {
             unrecorded_bytes = 0;
             share.record_progress();
             // Not before the first progress: the body may have got its room too late.
@@ -204,11 +204,17 @@
     Ok(buffer)
 }
 
-/// Room for a body of unknown length that needs more than `room_bytes`.
-fn next_room(room_bytes: usize) -> usize {
-    match room_bytes < SMALL_MAX_BYTES {
-        true => SMALL_MAX_BYTES,
-        false => room_bytes * ROOM_FACTOR,
+/// Room for a body of unknown length of which so many bytes have been read, with what is read ahead.
+fn room_for(read_bytes: usize, max_bytes: usize) -> usize {
+    let mut body_bytes = FIRST_PART_BYTES;
+    while body_bytes < read_bytes {
+        body_bytes *= ROOM_FACTOR;
+    }
+    let room_bytes = body_bytes.min(max_bytes) + AHEAD_BYTES;
+    match read_bytes + AHEAD_BYTES <= SMALL_MAX_BYTES {
+        // A body that may still be small stays among the small ones.
+        true => room_bytes.min(SMALL_MAX_BYTES),
+        false => room_bytes,
     }
 }
 
--- a/src/http/memory.rs
+++ b/src/http/memory.rs
@@ -134,7 +134,8 @@
                 // One search for all that wait: each looks at all holders.
                 self.memory.change(|budget, now_ms| {
                     let is_first = budget.is_first_waiting(self.id);
-                    is_first.then(|| budget.refuse_stalled(now_ms)).flatten()
+                    let refused = is_first.then(|| budget.refuse_stalled(now_ms));
+                    refused.unwrap_or_default()
                 });
                 return Poll::Pending;
             }
@@ -159,7 +160,18 @@
         self.memory.0.inner.lock().budget.is_waiting(self.id)
     }
 
-    /// Records that more of a body has arrived.
+    /// Records that a part of a body has arrived.
+    pub fn record_part(&self) {
+        let now_ms = self.memory.now_ms();
+        self.memory
+            .0
+            .inner
+            .lock()
+            .budget
+            .record_part(self.id, now_ms);
+    }
+
+    /// Records that a body has progressed.
     pub fn record_progress(&self) {
         let now_ms = self.memory.now_ms();
         let mut inner = self.memory.0.inner.lock();
