--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each `bind` starts a server on the given port, or on an ephemeral one for port 0, and returns
 //! a handle. Dropping the handle stops the server.
 
+pub mod address;
 pub mod engine;
 pub mod hosts;
 pub mod listening;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use jujubeusher::filter::identify::key_sha256;
+use jujubeusher_standins::address::can_bind;
 use jujubeusher_standins::engine::{Engine, EngineOptions};
 use jujubeusher_standins::objects::ObjectStore;
 use jujubeusher_standins::table::Table;
@@ -57,7 +58,7 @@
         let number = offset.wrapping_add(NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
         let port = (FIRST + number % COUNT) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
+        if can_bind(address) {
             return address;
         }
     }
