--- a/src/decide/memory_budget.rs
+++ b/src/decide/memory_budget.rs
@@ -313,8 +313,9 @@
         };
         let wanted = self.holders.values().filter_map(|h| h.wanted_bytes);
         let wanted_bytes: usize = wanted.sum();
-        let refused = self.holders.values().filter(|holder| holder.is_refused);
-        let mut freed_bytes: usize = refused.map(|holder| holder.held_bytes).sum();
+        // Room of bodies that were refused before and are not closed yet.
+        let closing = self.holders.values().filter(|holder| holder.is_refused);
+        let mut freed_bytes: usize = closing.map(|holder| holder.held_bytes).sum();
         let mut refused = Vec::new();
         for (id, holder) in &mut self.holders {
             let is_silent = now_ms >= holder.received_ms + STALL_MS;
--- a/src/decide/memory_plan.rs
+++ b/src/decide/memory_plan.rs
@@ -18,7 +18,7 @@
 const SMALL_RESPONSES: usize = 1;
 /// Buffers of callers' connections: 1,525 on a host with 160 MB, 2,479 on one with 260 MB.
 const CALLER_CONNECTIONS: usize = 5;
-/// Bytes that arrive behind large bodies through an extended receive buffer.
+/// What callers send behind large bodies, whose connections have extended receive buffers.
 const EXTENDED_BUFFERS: usize = 1;
 /// The program, its tables, and its connections to the store and to other routers: 20 MB on a host
 /// with 160 MB. A router before 2,400 servers needs half of it.
@@ -55,7 +55,7 @@
 /// its memory.
 pub const EXTENDED_BODY_MIN_BYTES: usize = 256 * 1024;
 /// Receive buffer that is requested then: a body of 4 MiB takes some 90 round trips instead of 340.
-/// What a caller sends behind such a body takes at most this share of the body's own memory.
+/// What a caller sends behind such a body takes at most a quarter of the memory that the body holds.
 pub const EXTENDED_RECEIVE_BUFFER_BYTES: usize =
     EXTENDED_BODY_MIN_BYTES * EXTENDED_BUFFERS / LARGE_REQUESTS / SYSTEM_FACTOR;
 
@@ -68,8 +68,8 @@
 /// under 5 KB.
 const RESERVED_RESPONSE_BYTES: usize = 16 * 1024;
 
-/// Memory that a response takes of which so many bytes are buffered, with that of its connection. An
-/// attempt has the memory of an empty response before it is sent.
+/// Memory of a response of which so many bytes are buffered, together with its connection. An attempt
+/// reserves that of an empty response before it is sent.
 ///
 /// ```
 /// use jujubeusher::decide::memory_plan::response_bytes;
--- a/src/tcp.rs
+++ b/src/tcp.rs
@@ -11,6 +11,17 @@
 /// Opens a connection with Nagle's algorithm disabled, from the address `from` if there is one. With
 /// `receive_buffer_bytes`, a receive buffer of this size is requested from the system: one that is
 /// made smaller later stalls the peer, which may already use the window of the larger one.
+///
+/// ```
+/// use std::net::TcpListener;
+/// # smol::block_on(async {
+/// let listener = TcpListener::bind("127.0.0.1:0")?;
+/// let address = listener.local_addr()?;
+/// let stream = jujubeusher::tcp::connect(address, None, Some(8 * 1024)).await?;
+/// assert_eq!(stream.peer_addr()?, address);
+/// # std::io::Result::Ok(())
+/// # }).unwrap();
+/// ```
 pub async fn connect(
     to: SocketAddr,
     from: Option<IpAddr>,
