A quarantine admits trials, so that it ends if it was wrong

Cause: three crashed runs with a part in common quarantine that part. Only an answer that begins on it lifts the quarantine, and the quarantine refuses all requests that could get one. Evidence: `part_quarantined` names the three servers, each later `quarantine_hit` the same three with growing ages. Ruled out: the review of strikes (the servers had ended), earlier answers (lost with the processes), one cause for crashes at one time (a part that crashes servers under prompts sent together looks the same).

Change: `decide::trials` says when one refused request may be sent all the same, 3 s after the refusals began, then 30 and 120 s after the trial before, never a fourth time. A router claims a trial in the store, beside its requests, by a write on the condition that its record has not changed, so that restarts, pauses and cuts give no second one, and a store that is away gives none. An answer lifts the quarantine on all routers and in the store, also where it was read from the store; Retry-After fits the next trial.

Tests that held a request in quarantine to reach no server now hold it to reach one in a logged trial only, of which there are three at most (the bound of the platform). The test that counted the rows written after a restore counts those of quarantines as before, one, and at most one trial.

--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -18,6 +18,7 @@
     Evidence, Fingerprint, Incarnation, Quarantine, Snapshot, SoundPart, StrikeDelta, StrikePolicy,
     StrikeStatus, StrikeTracker,
 };
+use crate::decide::trials::Refused;
 use crate::http::client::{CallError, Client};
 use crate::http::pool::connect;
 use crate::ids::{RouterId, ServerId};
@@ -178,12 +179,15 @@
         status
     }
 
-    /// Records that a server went on with an answer on these parts of a prompt.
-    pub fn record_answer(&self, parts: &[Fingerprint], now_ms: u64) {
+    /// Records that a server went on with an answer to a request of this caller with these parts.
+    pub fn record_answer(&self, parts: &[Fingerprint], caller: u64, now_ms: u64) {
         if parts.is_empty() {
             return;
         }
-        let is_news = self.0.tracker.lock().on_answer_begun(parts, now_ms);
+        let mut tracker = self.0.tracker.lock();
+        let is_news = tracker.on_answer_begun(parts, caller, now_ms);
+        log_lifted(&mut tracker);
+        drop(tracker);
         if is_news {
             self.notify();
         }
@@ -193,9 +197,10 @@
     pub fn apply_sound(&self, sound: &[SoundPart], now_ms: u64) -> Vec<SoundPart> {
         let mut tracker = self.0.tracker.lock();
         let sound = sound.iter().copied();
-        sound
-            .filter(|sound| tracker.apply_sound(*sound, now_ms))
-            .collect()
+        let changed = sound.filter(|sound| tracker.apply_sound(*sound, now_ms));
+        let changed = changed.collect();
+        log_lifted(&mut tracker);
+        changed
     }
 
     /// Removes and returns the sound parts since the last call, to be published to other routers.
@@ -203,18 +208,24 @@
         self.0.tracker.lock().drain_sound(now_ms)
     }
 
-    /// Quarantine that refuses the requests of a caller with one of these parts.
-    pub fn refused_part(
+    /// Quarantines that refuse the requests of a caller with these parts, one for each part that is
+    /// refused.
+    pub fn refused_parts(
         &self,
         parts: &[Fingerprint],
         caller: u64,
         now_ms: u64,
-    ) -> Option<Quarantine> {
+    ) -> Vec<(Refused, Quarantine)> {
         if !self.is_active() {
-            return None;
+            return Vec::new();
         }
         let tracker = self.0.tracker.lock();
-        tracker.refused_part(parts, caller, now_ms)
+        tracker.refused_parts(parts, caller, now_ms)
+    }
+
+    /// Whether a quarantine is in force.
+    pub fn is_in_force(&self, verdict: Fingerprint, now_ms: u64) -> bool {
+        self.is_active() && self.0.tracker.lock().is_in_force(verdict, now_ms)
     }
 
     /// Records that a server completed a request.
@@ -222,6 +233,7 @@
         if self.is_active() {
             let mut tracker = self.0.tracker.lock();
             tracker.on_completed(fingerprint, server, now_ms);
+            log_lifted(&mut tracker);
             self.0
                 .is_active
                 .store(!tracker.is_empty(), Ordering::Release);
@@ -270,6 +282,7 @@
             }
         }
         log_quarantined_parts(&mut tracker, now_ms);
+        log_lifted(&mut tracker);
         self.0
             .is_active
             .store(!tracker.is_empty(), Ordering::Release);
@@ -441,6 +454,12 @@
     Ok(report.map(|report| report.incarnation))
 }
 
+fn log_lifted(tracker: &mut StrikeTracker) {
+    for fingerprint in tracker.drain_lifted() {
+        log::info!("event=quarantine_lifted fingerprint={fingerprint} reason=answered");
+    }
+}
+
 fn log_quarantined_parts(tracker: &mut StrikeTracker, now_ms: u64) {
     for fingerprint in tracker.drain_quarantined() {
         let evidence = tracker.evidence(fingerprint, now_ms);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,5 +42,6 @@
 pub mod strikes;
 pub mod table_position;
 pub mod trace;
+pub mod trials;
 pub mod version;
 pub mod wait_queue;
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -10,6 +10,7 @@
 
 mod completions;
 mod entry;
+mod lifted;
 mod parts;
 mod snapshot;
 #[cfg(test)]
@@ -24,6 +25,7 @@
 pub(super) use completions::Completions;
 pub(super) use entry::confirm;
 use entry::{Entry, Strike};
+use lifted::{Answered, Lifted};
 pub use types::{
     Evidence, Fingerprint, Incarnation, Quarantine, Snapshot, SoundPart, StrikeDelta, StrikePolicy,
     StrikeStatus,
@@ -57,7 +59,8 @@
     evicted_ms: u64,
     lifts_on_completion: bool,
     parts: PartStrikes,
-    outgoing_sound: Vec<(Fingerprint, u64)>,
+    outgoing_sound: Vec<(Fingerprint, Answered)>,
+    lifted: Lifted,
     newly_quarantined: Vec<Fingerprint>,
 }
 
@@ -117,6 +120,12 @@
             .collect()
     }
 
+    /// Whether a quarantine is in force.
+    pub fn is_in_force(&self, verdict: Fingerprint, now_ms: u64) -> bool {
+        let entry = self.entries.get(&verdict);
+        entry.is_some_and(|entry| entry.is_quarantined(now_ms))
+    }
+
     /// Whether a server crashed under any request.
     pub fn has_crashed(&self, server: &ServerId) -> bool {
         let mut strikes = self.entries.values().flat_map(|entry| &entry.strikes);
@@ -327,10 +336,18 @@
     /// begins or extends one.
     pub fn apply_quarantine(&mut self, quarantine: Quarantine, now_ms: u64) -> bool {
         let until_ms = now_ms + quarantine.left_ms;
-        let entry = self.entries.entry(quarantine.fingerprint).or_default();
+        let fingerprint = quarantine.fingerprint;
+        if self
+            .lifted
+            .contains(fingerprint, until_ms, EXTENSION_MIN_MS)
+        {
+            return false;
+        }
+        let entry = self.entries.entry(fingerprint).or_default();
         let is_new = until_ms >= entry.quarantined_until_ms + EXTENSION_MIN_MS;
         if is_new {
             entry.quarantined_until_ms = until_ms;
+            entry.quarantined_since_ms = now_ms;
             entry.quarantines = entry.quarantines.max(1);
         }
         is_new
@@ -396,6 +413,9 @@
         }
         entry.is_proven = true;
         if self.lifts_on_completion {
+            if entry.is_quarantined(now_ms) {
+                self.lifted.record(fingerprint, entry.quarantined_until_ms);
+            }
             entry.quarantined_until_ms = 0;
         }
         if !entry.is_quarantined(now_ms) {
--- a/src/decide/strikes/entry.rs
+++ b/src/decide/strikes/entry.rs
@@ -19,6 +19,8 @@
     pub(super) strikes: Vec<Strike>,
     pub(super) is_proven: bool,
     pub(super) quarantined_until_ms: u64,
+    /// When the quarantine began, or this router learned of it.
+    pub(super) quarantined_since_ms: u64,
     /// Number of quarantines so far. After the first, one more strike is enough for the next.
     pub(super) quarantines: u32,
 }
@@ -73,6 +75,7 @@
     pub(super) fn quarantine(&mut self, at_ms: u64, policy: StrikePolicy) {
         let doublings = self.quarantines.min(DOUBLINGS_MAX);
         self.quarantined_until_ms = at_ms + (policy.quarantine_ms << doublings);
+        self.quarantined_since_ms = at_ms;
         self.quarantines += 1;
     }
 }
--- a/src/decide/strikes/snapshot.rs
+++ b/src/decide/strikes/snapshot.rs
@@ -38,13 +38,19 @@
         strikes.truncate(SNAPSHOT_MAX);
         let sound = self.parts.sound_parts().map(|(part, at_ms)| SoundPart {
             part,
+            caller: 0,
             age_ms: now_ms.saturating_sub(at_ms),
         });
+        let lifted = self.lifted.parts().map(|(part, answered)| SoundPart {
+            part,
+            caller: answered.caller,
+            age_ms: now_ms.saturating_sub(answered.at_ms),
+        });
         let mut quarantines = self.quarantines(now_ms);
         quarantines.retain(|quarantine| !self.is_derivable(quarantine.fingerprint, policy));
         Snapshot {
             strikes,
-            sound: sound.collect(),
+            sound: sound.chain(lifted).collect(),
             quarantines,
         }
     }
--- a/src/decide/strikes/tests.rs
+++ b/src/decide/strikes/tests.rs
@@ -398,7 +398,7 @@
 fn snapshot_tells_which_parts_are_sound() {
     let part = Fingerprint(0x5c1e);
     let mut here = StrikeTracker::lifting_on_completion();
-    here.on_answer_begun(&[part], 500);
+    here.on_answer_begun(&[part], 1, 500);
     for number in 0..4 {
         let run = CrashedRun {
             parts: vec![part],
@@ -410,7 +410,7 @@
         };
         here.on_run_crash(run, PLATFORM);
     }
-    assert_eq!(here.refused_part(&[part], 1, 2_000), None);
+    assert_eq!(here.refused_parts(&[part], 1, 2_000), []);
     let snapshot = here.snapshot(2_000, PLATFORM);
     let mut there = StrikeTracker::lifting_on_completion();
     for sound in snapshot.sound {
@@ -419,5 +419,73 @@
     for strike in &snapshot.strikes {
         there.apply_remote(strike, 50_000, PLATFORM);
     }
-    assert_eq!(there.refused_part(&[part], 1, 50_000), None);
+    assert_eq!(there.refused_parts(&[part], 1, 50_000), []);
+}
+
+fn crashed_run(part: Fingerprint, number: u64, at_ms: u64) -> CrashedRun {
+    CrashedRun {
+        parts: vec![part],
+        request: Fingerprint(100 + number),
+        caller: 1,
+        server: server(&format!("s{number}")),
+        started_ms: at_ms - 60,
+        at_ms,
+    }
+}
+
+/// A router on which a part is in quarantine, with its runs, and one that has read that from the store.
+fn quarantined_pair(part: Fingerprint) -> [StrikeTracker; 2] {
+    let mut here = StrikeTracker::lifting_on_completion();
+    for number in 0..3 {
+        here.on_run_crash(crashed_run(part, number, 1_000), PLATFORM);
+    }
+    let mut there = StrikeTracker::lifting_on_completion();
+    for quarantine in here.quarantines(2_000) {
+        assert!(there.apply_quarantine(quarantine, 2_000));
+    }
+    for tracker in [&here, &there] {
+        assert_eq!(tracker.refused_parts(&[part], 1, 3_000).len(), 1);
+    }
+    [here, there]
+}
+
+/// Guards against a quarantine that one router lifts and others keep, among them those that know of no
+/// crash, and against taking it up again from a router that has missed the answer.
+#[test]
+fn on_answer_begun_lifts_the_quarantine_everywhere() {
+    let part = Fingerprint(0x5c1e);
+    let [mut here, mut there] = quarantined_pair(part);
+    let stale = here.quarantines(3_000);
+    assert!(here.on_answer_begun(&[part], 1, 4_000));
+    let sound = here.drain_sound(4_000);
+    assert_eq!(sound.len(), 1);
+    assert!(there.apply_sound(sound[0], 4_000), "it is passed on");
+    assert!(!there.apply_sound(sound[0], 4_000), "only once");
+    for tracker in [&mut here, &mut there] {
+        assert_eq!(tracker.refused_parts(&[part], 1, 5_000), []);
+        assert_eq!(tracker.drain_lifted().len(), 1);
+        for quarantine in &stale {
+            assert!(!tracker.apply_quarantine(*quarantine, 3_000));
+        }
+    }
+    let [_, mut cut_off] = quarantined_pair(part);
+    for sound in here.snapshot(9_000, PLATFORM).sound {
+        cut_off.apply_sound(sound, 9_000);
+    }
+    assert_eq!(cut_off.refused_parts(&[part], 1, 9_000), []);
+}
+
+/// Guards against lifting a quarantine because of an answer from before its crashes, which a router
+/// without the crashes cannot tell by itself.
+#[test]
+fn apply_sound_of_an_earlier_answer_lifts_nothing() {
+    let part = Fingerprint(0x5c1e);
+    let [_, mut there] = quarantined_pair(part);
+    let earlier = SoundPart {
+        part,
+        caller: 1,
+        age_ms: 3_000,
+    };
+    there.apply_sound(earlier, 3_000);
+    assert_eq!(there.refused_parts(&[part], 1, 3_000).len(), 1);
 }
--- a/src/decide/strikes/types.rs
+++ b/src/decide/strikes/types.rs
@@ -124,6 +124,8 @@
 pub struct SoundPart {
     /// Hash of the part's id.
     pub part: Fingerprint,
+    /// Hash of the team whose request was answered; 0 if it is not known.
+    pub caller: u64,
     /// Time since the answer in ms.
     pub age_ms: u64,
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -277,7 +277,10 @@
     if matches!(response.body, ResponseBody::Complete(_)) {
         state.record_completion(routed.fingerprint, &server.id);
         if response.status.is_success() {
-            state.strikes.record_answer(&routed.prompt_parts, now_ms);
+            let caller = routed.caller_hash();
+            state
+                .strikes
+                .record_answer(&routed.prompt_parts, caller, now_ms);
         }
     }
     if !routed.route.is_stream {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod strike_feed;
 pub mod table;
 pub mod table_handlers;
+pub mod trials;
 pub mod watch;
 
 use std::net::SocketAddr;
@@ -113,6 +114,10 @@
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
         let start = relay::spawn(state, &mirrors, stop)?;
+        let (shared, store) = (Arc::clone(state), Arc::clone(&self.quarantines));
+        state
+            .runtime
+            .spawn_supervised(move || trials::claim_loop(Arc::clone(&shared), Arc::clone(&store)));
         let (shared, quarantines) = (Arc::clone(state), self.quarantines);
         state.runtime.spawn_supervised(move || {
             let mirrors = Arc::clone(&mirrors);
--- a/src/gateway/next_server.rs
+++ b/src/gateway/next_server.rs
@@ -1,5 +1,7 @@
 //! Selects the server of the next attempt of a request, and takes what its limits allow.
 
+use std::sync::Arc;
+
 use crate::decide::learned_capacity::Permit;
 use crate::decide::registry::Registration;
 use crate::gateway::placement::{self, NoSelection};
@@ -37,14 +39,14 @@
 /// Selects the server of the next attempt. A request that was sent before uses up a retry of the
 /// service's budget; one that was not delivered costs the servers nothing.
 pub(super) fn next_server(
-    state: &State,
+    state: &Arc<State>,
     routed: &RoutedRequest,
     history: &AttemptHistory,
 ) -> Result<Selected, NoServer> {
     if routed.remaining_ms(state.now_ms()) == 0 {
         return Err(NoServer::TimedOut);
     }
-    quarantine::check(state, routed, history).map_err(NoServer::Quarantined)?;
+    let trial = quarantine::check(state, routed, history).map_err(NoServer::Quarantined)?;
     let select = || placement::select_server(state, routed, history).map_err(NoServer::NotSelected);
     let mut server = select()?;
     if history.runs() == 0
@@ -62,6 +64,9 @@
         // Read before the units are taken, so that a pause of the process in between counts.
         let taken_ms = state.clock.boot_ms();
         if state.take_limit(&server) {
+            if let Some(trial) = trial {
+                trial.begin(&server.id);
+            }
             return Ok(Selected { server, taken_ms });
         }
         server = select()?;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -12,12 +12,14 @@
 
 use crate::decide::strikes::{Fingerprint, Quarantine, StrikePolicy, StrikeStatus};
 use crate::decide::table_position::Era;
+use crate::decide::trials::{Claim, Due, Refused};
 use crate::gateway::rejection::Rejection;
 use crate::gateway::relay::Mirrors;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
 use crate::gateway::strike_feed::StrikeChanges;
 use crate::gateway::table::{SourceError, SourceFuture};
+use crate::gateway::trials::{self, Trial};
 use crate::ids::ServerId;
 
 /// When requests are quarantined. The platform allows no more than three retries after a request
@@ -32,53 +34,76 @@
 };
 
 /// Fails if the request or a part of its prompt is in quarantine, and logs the crashes behind it.
+/// Returns a trial if the request may run all the same, to find out whether it is sound.
 pub fn check(
-    state: &State,
+    state: &Arc<State>,
     routed: &RoutedRequest,
     history: &AttemptHistory,
-) -> Result<(), Rejection> {
+) -> Result<Option<Trial>, Rejection> {
     let now_ms = state.now_ms();
-    let status = state.strikes.status(routed.fingerprint, now_ms, POLICY);
-    let quarantine = match status {
-        StrikeStatus::Quarantined { left_ms } => Some(Quarantine {
-            fingerprint: routed.fingerprint,
-            left_ms,
-        }),
-        StrikeStatus::Clear | StrikeStatus::Struck => {
-            let caller = routed.caller_hash();
-            let parts = &routed.prompt_parts;
-            state.strikes.refused_part(parts, caller, now_ms)
-        }
+    let refusals = refusals(state, routed, now_ms);
+    let Some((refused, quarantine)) = refusals.first().copied() else {
+        return Ok(None);
     };
-    let Some(Quarantine {
+    let all: Vec<Refused> = refusals.iter().map(|(refused, _)| *refused).collect();
+    if let Some(trial) = trials::take(state, &routed.id, &all) {
+        return Ok(Some(trial));
+    }
+    let Quarantine {
         fingerprint,
         left_ms,
-    }) = quarantine
-    else {
-        return Ok(());
-    };
+    } = quarantine;
     let subject = match fingerprint == routed.fingerprint {
         true => "request",
         false => "part",
     };
+    let pauses_ms = all
+        .iter()
+        .map(|refused| state.trials.record_refused(*refused, now_ms));
+    let pauses_ms: Vec<Option<u64>> = pauses_ms.collect();
+    // Each of the quarantines has to end.
+    let pauses_ms: Option<Vec<u64>> = pauses_ms.into_iter().collect();
+    let retry_after_ms = pauses_ms.and_then(|pauses_ms| pauses_ms.into_iter().max());
     let evidence = state.strikes.evidence(fingerprint, now_ms);
     let servers: Vec<&str> = evidence.iter().map(|crash| crash.server.as_str()).collect();
     let ages: Vec<String> = evidence.iter().map(|c| c.age_ms.to_string()).collect();
     log::info!(
         "event=quarantine_hit id={} fingerprint={fingerprint} subject={subject} servers={} \
-         ages_ms={} left_ms={left_ms}",
+         ages_ms={} left_ms={left_ms} trial={}",
         routed.id,
         servers.join(","),
         ages.join(","),
+        refused.subject,
     );
     match history.possible_runs {
         0 => Err(Rejection::Quarantined {
-            retry_after_ms: left_ms,
+            retry_after_ms: retry_after_ms.map_or(left_ms, |pause_ms| pause_ms.min(left_ms)),
         }),
         _ => Err(Rejection::AnswerLost),
     }
 }
 
+/// Quarantines that refuse a request: its own, or those of its prompt parts.
+fn refusals(state: &State, routed: &RoutedRequest, now_ms: u64) -> Vec<(Refused, Quarantine)> {
+    match state.strikes.status(routed.fingerprint, now_ms, POLICY) {
+        StrikeStatus::Quarantined { left_ms } => {
+            let refused = Refused {
+                subject: routed.fingerprint,
+                verdict: routed.fingerprint,
+            };
+            let quarantine = Quarantine {
+                fingerprint: routed.fingerprint,
+                left_ms,
+            };
+            vec![(refused, quarantine)]
+        }
+        StrikeStatus::Clear | StrikeStatus::Struck => {
+            let (parts, caller) = (&routed.prompt_parts, routed.caller_hash());
+            state.strikes.refused_parts(parts, caller, now_ms)
+        }
+    }
+}
+
 /// Keeps the quarantines of all routers.
 pub trait QuarantineStore: Send + Sync + 'static {
     /// Reads all stored quarantines.
@@ -90,6 +115,16 @@
         set: &'a [StoredQuarantine],
         removed: &'a [Fingerprint],
     ) -> SourceFuture<'a, Result<(), SourceError>>;
+
+    /// Claims the trial after the `claimed` first ones of a subject, unless another router has. A
+    /// record of trials whose last one is older than `valid_ms` counts as none.
+    fn claim_trial(&self, due: Due, valid_ms: u64) -> SourceFuture<'_, Result<Claim, SourceError>>;
+
+    /// Removes the records of the trials of subjects whose quarantines have ended.
+    fn remove_trials<'a>(
+        &'a self,
+        subjects: &'a [Fingerprint],
+    ) -> SourceFuture<'a, Result<(), SourceError>>;
 }
 
 /// A quarantine as it is stored.
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -70,6 +70,7 @@
         let sound_parts = batch.iter().map(|sound| wire::SoundPart {
             part: sound.part.0,
             age_ms: sound.age_ms.saturating_add(queued_ms),
+            caller: sound.caller,
         });
         let message = Message {
             sound_parts: sound_parts.collect(),
@@ -164,6 +165,7 @@
     let strikes: Vec<StrikeDelta> = message.strikes.iter().map(decode).collect();
     let sound = message.sound_parts.iter().map(|sound| SoundPart {
         part: Fingerprint(sound.part),
+        caller: sound.caller,
         age_ms: sound.age_ms,
     });
     let sound: Vec<SoundPart> = sound.collect();
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -137,6 +137,9 @@
     /// Time since the answer in ms.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Hash of the team whose request was answered; 0 if it is not known.
+    #[prost(fixed64, tag = "3")]
+    pub caller: u64,
 }
 
 /// Crash of a server under a request, or completion of the request.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,7 @@
 use crate::gateway::reachability::Reachability;
 use crate::gateway::server_bytes::ServerBytes;
 use crate::gateway::strike_feed::StrikeFeed;
+use crate::gateway::trials::QuarantineTrials;
 use crate::http::memory::Memory;
 use crate::http::pool::Pool;
 use crate::ids::{RouterId, ServerId, ServiceId, ZoneId};
@@ -120,6 +121,8 @@
     pub reachability: Reachability,
     /// Crashes of servers, by the requests that they ran.
     pub strikes: Strikes,
+    /// Trials of requests in quarantine.
+    pub trials: QuarantineTrials,
     /// Recent probes of servers whose connection broke.
     pub crash_probes: CrashProbes,
     /// Units of the limits that are divided among all routers.
@@ -195,6 +198,7 @@
             pool,
             reachability: Reachability::default(),
             strikes,
+            trials: QuarantineTrials::default(),
             crash_probes: CrashProbes::default(),
             strike_feed: StrikeFeed::default(),
             callers,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -201,8 +201,8 @@
     fn record_answer(&mut self, now_ms: u64) {
         if !self.has_answered {
             self.has_answered = true;
-            let parts = &self.routed.prompt_parts;
-            self.state.strikes.record_answer(parts, now_ms);
+            let (parts, caller) = (&self.routed.prompt_parts, self.routed.caller_hash());
+            self.state.strikes.record_answer(parts, caller, now_ms);
         }
     }
 
--- a/src/observe/explain.rs
+++ b/src/observe/explain.rs
@@ -224,6 +224,9 @@
             },
         ));
     }
+    if last_line(own, "trial_sent").is_some() {
+        parts.push("sent as the trial of a quarantine".to_owned());
+    }
     if let Some(line) = last_line(own, "crashed") {
         let server = line.field("server").unwrap_or("-");
         parts.push(format!("{server} crashed while it ran the request"));
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -72,7 +72,7 @@
     mode: StoreMode,
     calls: u64,
     page_reads: u64,
-    rows_written: u64,
+    rows_written: BTreeMap<String, u64>,
     started: Instant,
 }
 
@@ -92,7 +92,7 @@
             mode: StoreMode::Serving,
             calls: 0,
             page_reads: 0,
-            rows_written: 0,
+            rows_written: BTreeMap::new(),
             started: Instant::now(),
         }));
         let shared = Arc::clone(&state);
@@ -158,7 +158,13 @@
 
     /// Number of rows that routers have written or removed since the start.
     pub fn rows_written(&self) -> u64 {
-        self.state.lock().rows_written
+        self.state.lock().rows_written.values().sum()
+    }
+
+    /// The same for one table.
+    pub fn rows_written_to(&self, table: &str) -> u64 {
+        let state = self.state.lock();
+        state.rows_written.get(table).copied().unwrap_or(0)
     }
 
     /// Keys of a table's rows.
@@ -220,11 +226,19 @@
 }
 
 impl State {
-    /// Applies a transaction without conditions on rows of the empty partition.
+    /// Applies a transaction on rows of the empty partition if its conditions hold.
     fn apply(&mut self, transaction: &Value) -> Response<Body> {
         let rows = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
         let (set, removed) = (rows("SetKeys"), rows("Delete"));
         let name = |row: &Value, field: &str| row[field].as_str().map(str::to_owned);
+        let holds = |expected: &Value| {
+            let id = (name(expected, "Table")?, name(expected, "Key")?);
+            let known = self.content.rows.get(&id);
+            Some(known.map_or(0, |(_, version)| *version) == expected["Ver"].as_u64()?)
+        };
+        if !rows("ExpectRev").iter().all(|row| holds(row) == Some(true)) {
+            return self.respond(StatusCode::PRECONDITION_FAILED, json!({"Rows": []}));
+        }
         let mut changes = Vec::new();
         for row in set.iter().chain(&removed) {
             let (Some(table), Some(key)) = (name(row, "Table"), name(row, "Key")) else {
@@ -241,7 +255,7 @@
         }
         for (table, key, content) in changes {
             self.content.write(&table, &key, content);
-            self.rows_written += 1;
+            *self.rows_written.entry(table).or_default() += 1;
         }
         self.respond(StatusCode::OK, json!({"Ver": self.content.version}))
     }
