Servers that go dark count against the requests that they ran

Cause: a crash was looked for after a broken connection only. No connection breaks here: the attempt ends by time-out or another server is asked beside it, and its record ends with it, so that the removal of the server's row could be attributed to nothing. Evidence: `attempt_failed kind=timeout`, then `server_left`, and no `crashed`. Weighed and dropped: a strike for silence and a failed probe at once (a machine that is silent for a second costs sound requests).

Change: `decide::open_runs` keeps the runs that servers have not completed, also those that were given up or whose callers left. `gateway::silent_ends` judges them when a server's row is removed without a word of its leaving, or it has started again; not if it returns, accepts a connection, or its zone is silent. Ends known from silence have a common cause within 1.7 s more than others.

--- a/src/control/strike_sync.rs
+++ b/src/control/strike_sync.rs
@@ -64,6 +64,7 @@
         is_proven: false,
         parts: Vec::new(),
         caller: 0,
+        is_silent: false,
         age_ms: policy.quarantine_ms.saturating_sub(row.remaining_ms),
     }
 }
--- a/src/control/strikes.rs
+++ b/src/control/strikes.rs
@@ -154,6 +154,7 @@
             server: server.clone(),
             started_ms: crash.now_ms.saturating_sub(crash.ran_ms),
             at_ms: crash.now_ms,
+            is_silent: false,
         };
         let status = self.record_run_crash(run, policy);
         self.0.incarnations.lock().swap_remove(server);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,6 +23,7 @@
 pub mod memory_budget;
 pub mod memory_plan;
 pub mod offers;
+pub mod open_runs;
 pub mod orders;
 pub mod overlay;
 pub mod overload;
--- a/src/decide/part_strikes.rs
+++ b/src/decide/part_strikes.rs
@@ -39,8 +39,10 @@
     pub server: ServerId,
     /// When the request was sent, in monotonic ms.
     pub started_ms: u64,
-    /// When the server crashed, in monotonic ms.
+    /// When the server crashed, in monotonic ms; the latest time if it was only silent.
     pub at_ms: u64,
+    /// Whether the end of the server is known from its silence.
+    pub is_silent: bool,
 }
 
 #[derive(Debug)]
@@ -270,7 +272,9 @@
                 known.server != run.server || run.started_ms > known.at_ms + policy.restart_min_ms
             };
             let has_own_cause = crashes.last().is_none_or(|last| {
-                run.started_ms >= last.at_ms || run.at_ms >= last.at_ms + policy.common_cause_ms
+                let is_silent = run.is_silent || last.is_silent;
+                run.started_ms >= last.at_ms
+                    || run.at_ms >= last.at_ms + policy.common_cause_ms(is_silent)
             });
             if crashes.iter().all(is_other_crash) && (!is_proven || has_own_cause) {
                 crashes.push(run);
--- a/src/decide/part_strikes/tests.rs
+++ b/src/decide/part_strikes/tests.rs
@@ -21,6 +21,7 @@
         server: ServerId::from(format!("s{number}").as_str()),
         started_ms: at_ms - 60,
         at_ms,
+        is_silent: false,
     }
 }
 
@@ -195,3 +196,33 @@
     add(&mut strikes, run(5_000, later_ms, &[BAD]));
     assert_eq!(strikes.runs().count(), 1);
 }
+
+/// Guards against refusing a hot prompt because servers that fell silent together seem to have ended
+/// one after the other: what is known of each is its last heartbeat.
+#[test]
+fn add_servers_that_fall_silent_together_quarantine_no_proven_part() {
+    let silent = |number: u64, at_ms: u64, started_ms: u64| CrashedRun {
+        started_ms,
+        is_silent: true,
+        ..run(number, at_ms, &[FIRST, SOUND])
+    };
+    let mut strikes = PartStrikes::default();
+    strikes.record_sound(&[FIRST, SOUND], 900);
+    for number in 0..15 {
+        let at_ms = 2_000 + number * 1_600 / 15;
+        assert_eq!(add(&mut strikes, silent(number, at_ms, 950)), []);
+    }
+    // Each of these was sent after the end of the one before.
+    let mut strikes = PartStrikes::default();
+    strikes.record_sound(&[BAD], 900);
+    let mut quarantined = Vec::new();
+    for number in 0..5 {
+        let started_ms = 1_000 + number * 3_000;
+        let crashed = CrashedRun {
+            parts: vec![BAD],
+            ..silent(number, started_ms + 1_200, started_ms)
+        };
+        quarantined.extend(add(&mut strikes, crashed));
+    }
+    assert_eq!(quarantined, [fingerprint(BAD, Callers::One(TEAM))]);
+}
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -122,6 +122,18 @@
     }
 }
 
+/// A server that has ended, or whose row was removed, without a word of its leaving.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Vanished {
+    /// Its last registration.
+    pub registration: Registration,
+    /// Whether it has registered again as a later incarnation, so that this one has ended.
+    pub has_restarted: bool,
+}
+
+/// Maximum number of vanished servers that are kept for [`Registry::take_vanished`].
+const VANISHED_MAX: usize = 1_024;
+
 /// All registered servers, whether or not they accept new requests.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -135,6 +147,7 @@
     doubted_until_ms: Option<u64>,
     /// Whether a snapshot listed servers that are not used because their rows are doubted.
     has_doubted_rows: bool,
+    vanished: Vec<Vanished>,
 }
 
 impl Registry {
@@ -161,6 +174,10 @@
         if is_restart {
             let has_announced_leaving =
                 entry.has_announced_leaving && new.incarnation == known.incarnation;
+            if new.incarnation > known.incarnation && !entry.is_leaving() {
+                let registration = known.clone();
+                self.record_vanished(registration, true);
+            }
             self.insert(new, has_announced_leaving, now_ms);
             return Change::Joined;
         }
@@ -243,6 +260,29 @@
             has_announced_leaving: entry.has_announced_leaving,
         };
         self.record_departed(id, departed);
+        if !entry.is_leaving() {
+            self.record_vanished(entry.registration, false);
+        }
+    }
+
+    fn record_vanished(&mut self, registration: Registration, has_restarted: bool) {
+        if self.vanished.len() < VANISHED_MAX {
+            self.vanished.push(Vanished {
+                registration,
+                has_restarted,
+            });
+        }
+    }
+
+    /// Removes and returns the servers that have vanished since the last call.
+    pub fn take_vanished(&mut self) -> Vec<Vanished> {
+        std::mem::take(&mut self.vanished)
+    }
+
+    /// Whether another server has registered at the address of one that is not registered any more.
+    pub fn is_address_reused(&self, gone: &Registration) -> bool {
+        let mut others = self.all().filter(|other| other.id != gone.id);
+        others.any(|other| other.address == gone.address)
     }
 
     fn record_departed(&mut self, id: &ServerId, departed: Departed) {
--- a/src/decide/registry/tests.rs
+++ b/src/decide/registry/tests.rs
@@ -242,3 +242,35 @@
     registry.record_announced_leaving(&"a".into(), Incarnation(1));
     assert_eq!(registry.set(leaving("a", 1, 2), 1), Change::Left);
 }
+
+/// Guards against losing the end of a server that did not announce it, and against taking a planned
+/// stop, an outage of the store or a move for one.
+#[test]
+fn take_vanished_covers_unannounced_ends_only() {
+    let mut registry = Registry::default();
+    let vanished = |registry: &mut Registry| -> Vec<(String, bool)> {
+        let vanished = registry.take_vanished().into_iter();
+        vanished
+            .map(|v| (v.registration.id.to_string(), v.has_restarted))
+            .collect()
+    };
+    for id in ["gone", "restarted", "leaving", "announced", "lapsed"] {
+        registry.set(row(id, 1, 1), 0);
+    }
+    registry.remove(&ServerId::from("gone"), 10);
+    registry.set(row("restarted", 2, 1), 10);
+    assert_eq!(
+        vanished(&mut registry),
+        [("gone".to_owned(), false), ("restarted".to_owned(), true)]
+    );
+    registry.set(leaving("leaving", 1, 2), 20);
+    registry.remove(&ServerId::from("leaving"), 30);
+    registry.record_announced_leaving(&ServerId::from("announced"), Incarnation(1));
+    registry.set(row("announced", 2, 1), 40);
+    registry.on_store_lost(100);
+    registry.on_store_recovered(100 + OUTAGE_MIN_MS);
+    registry.remove(&ServerId::from("lapsed"), 200 + OUTAGE_MIN_MS);
+    assert_eq!(vanished(&mut registry), []);
+    registry.expire(200 + OUTAGE_MIN_MS + REREGISTRATION_MS);
+    assert_eq!(vanished(&mut registry), [("lapsed".to_owned(), false)]);
+}
--- a/src/decide/strikes.rs
+++ b/src/decide/strikes.rs
@@ -171,6 +171,7 @@
             server: server.clone(),
             started_ms: now_ms.saturating_sub(ran_ms),
             at_ms: now_ms,
+            is_silent: false,
         };
         self.on_run_crash(run, policy)
     }
@@ -196,6 +197,7 @@
                 at_ms: now_ms,
                 is_stale: false,
                 is_confirmed: false,
+                is_silent: run.is_silent,
             };
             self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
         }
@@ -209,6 +211,7 @@
                 is_proven,
                 parts: run.parts,
                 caller: run.caller,
+                is_silent: run.is_silent,
                 age_ms: 0,
             };
             self.queue_delta(delta, now_ms);
@@ -234,6 +237,7 @@
                 is_proven: true,
                 parts: Vec::new(),
                 caller: 0,
+                is_silent: false,
                 age_ms: 0,
             };
             self.queue_delta(delta, now_ms);
@@ -262,6 +266,7 @@
                 at_ms,
                 is_stale: false,
                 is_confirmed: false,
+                is_silent: delta.is_silent,
             };
             self.add_strike(fingerprint, strike, is_proven, now_ms, policy);
         }
@@ -276,6 +281,7 @@
             server: server.clone(),
             started_ms: at_ms.saturating_sub(delta.ran_ms),
             at_ms,
+            is_silent: delta.is_silent,
         };
         let is_new_run = self.add_run(run, now_ms, policy);
         missing > 0 || is_new_run
--- a/src/decide/strikes/entry.rs
+++ b/src/decide/strikes/entry.rs
@@ -12,6 +12,8 @@
     pub(super) is_stale: bool,
     /// Whether the server is known to have ended.
     pub(super) is_confirmed: bool,
+    /// Whether the end of the server is known from its silence.
+    pub(super) is_silent: bool,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -43,8 +45,9 @@
         let mut last: Option<&Strike> = None;
         for strike in strikes {
             let has_own_cause = |last: &Strike| {
+                let is_silent = strike.is_silent || last.is_silent;
                 strike.started_ms >= last.at_ms
-                    || strike.at_ms >= last.at_ms + policy.common_cause_ms
+                    || strike.at_ms >= last.at_ms + policy.common_cause_ms(is_silent)
             };
             if last.is_none_or(has_own_cause) {
                 count += 1;
--- a/src/decide/strikes/snapshot.rs
+++ b/src/decide/strikes/snapshot.rs
@@ -20,6 +20,7 @@
                 is_proven: entry.is_proven,
                 parts: Vec::new(),
                 caller: 0,
+                is_silent: strike.is_silent,
                 age_ms: now_ms.saturating_sub(strike.at_ms),
             })
         });
@@ -31,6 +32,7 @@
             is_proven: false,
             parts: run.parts.clone(),
             caller: run.caller,
+            is_silent: run.is_silent,
             age_ms: now_ms.saturating_sub(run.at_ms),
         });
         let mut strikes: Vec<StrikeDelta> = runs.chain(strikes).collect();
--- a/src/decide/strikes/tests.rs
+++ b/src/decide/strikes/tests.rs
@@ -407,6 +407,7 @@
             server: server(&format!("s{number}")),
             started_ms: 900,
             at_ms: 1_000 + number * 300,
+            is_silent: false,
         };
         here.on_run_crash(run, PLATFORM);
     }
@@ -430,6 +431,7 @@
         server: server(&format!("s{number}")),
         started_ms: at_ms - 60,
         at_ms,
+        is_silent: false,
     }
 }
 
--- a/src/decide/strikes/types.rs
+++ b/src/decide/strikes/types.rs
@@ -65,7 +65,20 @@
     pub restart_min_ms: u64,
 }
 
+/// How far apart the ends of servers that fall silent together may seem: their last heartbeats are up
+/// to 1.2 s apart, and the removal of a row is known up to 0.5 s late.
+const SILENCE_UNCERTAINTY_MS: u64 = 1_700;
+
 impl StrikePolicy {
+    /// Time within which two crashes may have a common cause; `is_silent` tells that the time of one
+    /// of them is known from the server's silence.
+    pub(crate) fn common_cause_ms(&self, is_silent: bool) -> u64 {
+        match is_silent {
+            true => self.common_cause_ms + SILENCE_UNCERTAINTY_MS,
+            false => self.common_cause_ms,
+        }
+    }
+
     /// Longest time for which a request is quarantined, after many quarantines.
     pub fn quarantine_max_ms(&self) -> u64 {
         self.quarantine_ms << DOUBLINGS_MAX
@@ -115,6 +128,8 @@
     pub parts: Vec<Fingerprint>,
     /// Hash of the caller's team; 0 without parts.
     pub caller: u64,
+    /// Whether the crash is known from the server's silence.
+    pub is_silent: bool,
     /// Time from the change until the sender sent it.
     pub age_ms: u64,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -248,6 +248,7 @@
                 read_ahead: None,
                 memory,
                 keep_alive: response_head.keep_alive,
+                open: None,
                 _load: load_ticket,
                 _bytes: bytes_ticket,
                 _prompt: prompt_guard,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -20,6 +20,7 @@
 use crate::gateway::reachability::LastActivity;
 use crate::gateway::rejection::Rejection;
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
+use crate::gateway::silent_ends::OpenRun;
 use crate::gateway::state::State;
 use crate::ids::RunState;
 
@@ -96,7 +97,8 @@
             match next {
                 Ok(Selected { server, taken_ms }) => {
                     let begun = begin(state, routed, history, server);
-                    attempts.push(run(state, routed, &begun, last_event, taken_ms));
+                    let open = state.open_run(routed, &begun.server, begun.sent_ms);
+                    attempts.push(run(state, routed, &begun, open, last_event, taken_ms));
                     running.push(begun);
                 }
                 Err(reason) if attempts.is_empty() => {
@@ -201,6 +203,7 @@
     state: &'a State,
     routed: &'a RoutedRequest,
     running: &Running,
+    open: OpenRun,
     last_event: Option<u64>,
     taken_ms: u64,
 ) -> impl Future<Output = Ended> + use<'a> {
@@ -213,14 +216,30 @@
             taken_ms,
             fetch_source: placement::fetch_source(state, routed, &server),
         };
+        let mut result = attempt::send(state, routed, &server, limits, &progress).await;
+        close_run(open, &mut result);
         Ended {
-            result: attempt::send(state, routed, &server, limits, &progress).await,
+            result,
             server,
             sent_ms,
         }
     }
 }
 
+/// Records that the server has completed its run or did not run the request. A stream goes on; any
+/// other run without a response is given up.
+fn close_run(open: OpenRun, result: &mut Result<ServerResponse, Failure>) {
+    match result {
+        Ok(ServerResponse {
+            body: ResponseBody::Stream(source),
+            ..
+        }) => source.open = Some(open),
+        Ok(_) => open.complete(),
+        Err(failure) if failure.kind.run_state() == RunState::NotRun => open.complete(),
+        Err(_) => {}
+    }
+}
+
 impl NoServer {
     /// Time to wait before a server is selected again; `None` if that is no use.
     fn wait(&self, state: &State, routed: &RoutedRequest) -> Option<Duration> {
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -92,6 +92,7 @@
             server: server.id.clone(),
             started_ms: sent_ms,
             at_ms: broken_ms,
+            is_silent: false,
         },
     };
     match find(state, server, broken_ms, false).await {
@@ -125,20 +126,25 @@
     /// Records that the server crashed.
     fn record(self, state: &State) {
         let run = self.crashed;
-        log::warn!(
-            "event=crashed id={} fingerprint={} parts={} route={} server={} ran_ms={}",
-            self.id,
-            run.request,
-            join(&run.parts),
-            self.route.name,
-            run.server,
-            run.at_ms.saturating_sub(run.started_ms),
-        );
-        let status = state.strikes.record_run_crash(run, POLICY);
-        state.metrics.count_strike(status);
+        state.open_runs.remove(&run.server, run.request);
+        record(state, &self.id, &self.route.name, run);
     }
 }
 
+/// Records and logs that a server crashed while it ran a request.
+pub(super) fn record(state: &State, id: &RequestId, route: &str, run: CrashedRun) {
+    log::warn!(
+        "event=crashed id={id} fingerprint={} parts={} route={route} server={} ran_ms={} is_silent={}",
+        run.request,
+        join(&run.parts),
+        run.server,
+        run.at_ms.saturating_sub(run.started_ms),
+        run.is_silent,
+    );
+    let status = state.strikes.record_run_crash(run, POLICY);
+    state.metrics.count_strike(status);
+}
+
 /// What a probe of a server whose connection broke has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Finding {
@@ -185,6 +191,12 @@
 /// Whether another server of the availability zone accepts a connection; true if there is none that
 /// has not crashed itself.
 async fn is_zone_reached(state: &State, server: &Registration) -> bool {
+    witness(state, server).await.unwrap_or(true)
+}
+
+/// Whether one of the other servers of the availability zone accepts a connection; `None` if there is
+/// none that has not crashed itself.
+pub(super) async fn witness(state: &State, server: &Registration) -> Option<bool> {
     let mut witnesses = state.servers_nearby(server);
     witnesses.retain(|witness| {
         let id = &witness.id;
@@ -193,20 +205,22 @@
     witnesses.truncate(WITNESSES_MAX);
     for witness in &witnesses {
         if probe(state, witness.address).await == Probe::Accepted {
-            return true;
+            return Some(true);
         }
     }
-    witnesses.is_empty()
+    (!witnesses.is_empty()).then_some(false)
 }
 
+/// What a connection to a server has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Probe {
+pub(super) enum Probe {
     Accepted,
     Refused,
     Unknown,
 }
 
-async fn probe(state: &State, address: SocketAddr) -> Probe {
+/// Opens a connection to a server, which is kept for later requests.
+pub(super) async fn probe(state: &State, address: SocketAddr) -> Probe {
     match with_timeout(PROBE_TIMEOUT, state.pool.connect(address)).await {
         Some(Ok(connection)) => {
             state.pool.release(address, connection);
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -15,6 +15,7 @@
 use crate::gateway::queue::RunGuard;
 use crate::gateway::reachability::LastActivity;
 use crate::gateway::server_bytes::BytesTicket;
+use crate::gateway::silent_ends::OpenRun;
 use crate::gateway::state::State;
 use crate::http::event_wait::EventWait;
 use crate::http::lazy_timer::LazyTimer;
@@ -54,6 +55,7 @@
     pub(super) read_ahead: Option<Result<(), StreamError>>,
     pub(super) memory: MemoryShare,
     pub(super) keep_alive: Option<Duration>,
+    pub(super) open: Option<OpenRun>,
     pub(super) _load: LoadTicket,
     pub(super) _bytes: BytesTicket,
     pub(super) _prompt: Option<PromptGuard>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod request;
 pub mod routed_request;
 pub mod server_bytes;
+pub mod silent_ends;
 pub mod state;
 pub mod stream;
 pub mod strike_feed;
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -119,6 +119,7 @@
         is_proven: strike.is_proven,
         parts: strike.parts.iter().map(|part| part.0).collect(),
         caller: strike.caller,
+        is_silent: strike.is_silent,
     }
 }
 
@@ -150,6 +151,7 @@
         is_proven: strike.is_proven,
         parts: parts.map(|part| Fingerprint(*part)).collect(),
         caller: strike.caller,
+        is_silent: strike.is_silent,
         age_ms: strike.age_ms,
     }
 }
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -169,6 +169,9 @@
     /// Hash of the caller's team.
     #[prost(fixed64, tag = "8")]
     pub caller: u64,
+    /// Whether the crash is known from the server's silence.
+    #[prost(bool, tag = "9")]
+    pub is_silent: bool,
 }
 
 /// A request that is refused.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -37,6 +37,7 @@
 use crate::gateway::queue::Queues;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::server_bytes::ServerBytes;
+use crate::gateway::silent_ends::OpenRunsTable;
 use crate::gateway::strike_feed::StrikeFeed;
 use crate::gateway::trials::QuarantineTrials;
 use crate::http::memory::Memory;
@@ -123,6 +124,8 @@
     pub strikes: Strikes,
     /// Trials of requests in quarantine.
     pub trials: QuarantineTrials,
+    /// Runs whose servers have not completed them.
+    pub open_runs: OpenRunsTable,
     /// Recent probes of servers whose connection broke.
     pub crash_probes: CrashProbes,
     /// Units of the limits that are divided among all routers.
@@ -199,6 +202,7 @@
             reachability: Reachability::default(),
             strikes,
             trials: QuarantineTrials::default(),
+            open_runs: OpenRunsTable::default(),
             crash_probes: CrashProbes::default(),
             strike_feed: StrikeFeed::default(),
             callers,
@@ -382,6 +386,7 @@
         let now_ms = self.now_ms();
         self.strikes.remember_completion(fingerprint, now_ms);
         self.strikes.record_completion(fingerprint, server, now_ms);
+        self.open_runs.remove_request(fingerprint);
     }
 
     /// Counts a request towards the retry budget of its service.
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -135,6 +135,21 @@
         }
     }
 
+    /// Whether the registrations that this router knows are up to date.
+    pub fn has_current_servers(&self) -> bool {
+        self.servers_source.lock().is_current(self.now_ms())
+    }
+
+    /// Whether a server is registered, whether or not it accepts requests.
+    pub fn is_registered(&self, server: &ServerId) -> bool {
+        self.registry.lock().zone(server).is_some()
+    }
+
+    /// Whether another server has registered at the address of one that has vanished.
+    pub fn is_address_reused(&self, vanished: &Registration) -> bool {
+        self.registry.lock().is_address_reused(vanished)
+    }
+
     /// What became of a server that seemed to have crashed `age_ms` ago.
     pub fn incarnation(&self, server: &ServerId, age_ms: u64) -> Incarnation {
         let now_ms = self.now_ms();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -177,7 +177,10 @@
                 Ok(None) if self.is_behind() => self.failure = Some(StreamError::NotResumed),
                 Ok(None) => {
                     self.outcome = "complete";
-                    if let Some(source) = self.source.take() {
+                    if let Some(mut source) = self.source.take() {
+                        if let Some(open) = source.open.take() {
+                            open.complete();
+                        }
                         let fingerprint = self.routed.fingerprint;
                         self.state.record_completion(fingerprint, &server.id);
                         self.record_answer(self.state.now_ms());
@@ -201,6 +204,9 @@
     fn record_answer(&mut self, now_ms: u64) {
         if !self.has_answered {
             self.has_answered = true;
+            if let Some(open) = self.source.as_ref().and_then(|s| s.open.as_ref()) {
+                open.record_answer();
+            }
             let (parts, caller) = (&self.routed.prompt_parts, self.routed.caller_hash());
             self.state.strikes.record_answer(parts, caller, now_ms);
         }
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -8,6 +8,7 @@
 use crate::config::routing::RoutingTable;
 use crate::decide::registry::{Change, Registration};
 use crate::decide::table_position::Era;
+use crate::gateway::silent_ends;
 use crate::gateway::state::State;
 use crate::gateway::table::{Row, RowEffect, TableHandler};
 use crate::ids::{ServerId, ZoneId};
@@ -269,7 +270,9 @@
                 row.is_some_and(|row| self.state.record_cold_row(row, change, is_first));
             effects.insert(id, effect(change, is_cold_news));
         }
+        let vanished = registry.take_vanished();
         drop(registry);
+        silent_ends::check(&self.state, vanished);
         let effect = |row: &Row| effects.get(row.key.as_str()).copied();
         let effects = rows.iter().map(effect);
         effects.map(|e| e.unwrap_or(RowEffect::Skip)).collect()
@@ -279,13 +282,22 @@
         let now_ms = self.state.now_ms();
         let id = ServerId::from(row.key.as_str());
         let change = match (&row.content, self.decode_row(row)) {
-            (None, _) => self.state.registry.lock().remove(&id, now_ms),
+            (None, _) => {
+                let mut registry = self.state.registry.lock();
+                let change = registry.remove(&id, now_ms);
+                let vanished = registry.take_vanished();
+                drop(registry);
+                silent_ends::check(&self.state, vanished);
+                change
+            }
             (Some(_), Some(registration)) => {
                 // As in `replace`.
                 let mut registry = self.state.registry.lock();
                 let change = registry.set(registration.clone(), now_ms);
                 let is_cold_news = self.state.record_cold_row(&registration, change, false);
+                let vanished = registry.take_vanished();
                 drop(registry);
+                silent_ends::check(&self.state, vanished);
                 log_change(&id, change);
                 return effect(change, is_cold_news);
             }
@@ -325,5 +337,8 @@
         for id in registry.expire(now_ms) {
             log::info!("event=server_left server={id} reason=not_registered_again");
         }
+        let vanished = registry.take_vanished();
+        drop(registry);
+        silent_ends::check(&self.state, vanished);
     }
 }
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -62,6 +62,9 @@
 /// Time for which a server runs a request that crashes it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval at which a response waits for the end of its server's silence.
+const SILENCE_POLL: Duration = Duration::from_millis(20);
+
 /// One executed request.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -95,6 +98,9 @@
     cold_ms: Option<String>,
     load: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
+    /// Whether a crash leaves all connections open, without a further byte.
+    crashes_silently: bool,
+    is_silent: bool,
     crashes: usize,
     run_time: Duration,
     events_before_crash: u64,
@@ -170,6 +176,22 @@
         self.state.lock().crash_triggers.push(trigger);
     }
 
+    /// Makes the server fall silent where it would crash: its connections stay open, and nothing is
+    /// sent on them any more. New ones are accepted until [`PlatformBackend::set_listening`].
+    pub fn crash_silently(&self) {
+        self.state.lock().crashes_silently = true;
+    }
+
+    /// Makes the server fall silent without a cause in a request, or go on.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.lock().is_silent = is_silent;
+    }
+
+    /// Whether the server is silent.
+    pub fn is_silent(&self) -> bool {
+        self.state.lock().is_silent
+    }
+
     /// Crashes the server without a cause in a request.
     pub fn crash(&self) {
         self.stop.close();
@@ -298,6 +320,9 @@
 async fn handle_request(incarnation: Incarnation, request: Request<Incoming>) -> Response<Body> {
     let state = Arc::clone(&incarnation.state);
     let response = respond(incarnation, request).await;
+    while state.lock().is_silent {
+        Timer::after(SILENCE_POLL).await;
+    }
     let (is_leaving, limit, cold_ms, load, places_load) = {
         let state = state.lock();
         (
@@ -399,6 +424,16 @@
     let crashing = Arc::clone(&state);
     let crash = async move {
         Timer::after(CRASH_DELAY).await;
+        {
+            let mut state = crashing.lock();
+            if state.crashes_silently {
+                state.crashes += usize::from(!state.is_silent);
+                state.is_silent = true;
+            }
+        }
+        if crashing.lock().is_silent {
+            return std::future::pending().await;
+        }
         // Several requests may crash one incarnation.
         if stop.close() {
             crashing.lock().crashes += 1;
