A request in quarantine is refused before it waits for a place

Callers saw: while requests waited in a router's queue, one in quarantine waited with them until a place was offered, and was refused then. Cause: the check for quarantines ran with the selection of a server, which a request behind others skips at first; the same class as the bodies that waited in front of a check (docs/incidents/waiting-bodies.md). It is now checked before it waits.

--- a/src/gateway/first_server.rs
+++ b/src/gateway/first_server.rs
@@ -6,6 +6,7 @@
 use crate::decide::wait_queue::Waiting;
 use crate::gateway::next_server::{NoServer, Selected, next_server};
 use crate::gateway::placement::NoSelection;
+use crate::gateway::quarantine;
 use crate::gateway::queue::{Outcome, Place, Woken};
 use crate::gateway::routed_request::{AttemptHistory, RoutedRequest};
 use crate::gateway::state::State;
@@ -29,7 +30,10 @@
     }
     let is_behind = state.queues.has_as_urgent(&routed.service, routed.priority);
     let selected = match is_behind {
-        true => Err(NoServer::NotSelected(NoSelection::AtCapacity)),
+        // A request that is in quarantine would wait for a place only to be refused.
+        true => quarantine::check(state, routed, history)
+            .map_err(NoServer::Quarantined)
+            .and(Err(NoServer::NotSelected(NoSelection::AtCapacity))),
         false => next_server(state, routed, history),
     };
     if is_new && routed.prompt.is_some() {
