Runs on dark servers of a silent zone count once their request ended another

By reading: its zones have two or three servers, and two that go dark under the first request leave no other server to show that their zone is not cut off, so that neither counts and a further request takes two more servers down.

--- a/src/gateway/silent_ends.rs
+++ b/src/gateway/silent_ends.rs
@@ -10,9 +10,10 @@
 use crate::decide::open_runs::{Open, OpenRuns, RunId};
 use crate::decide::part_strikes::CrashedRun;
 use crate::decide::registry::{Registration, Vanished};
-use crate::decide::strikes::Fingerprint;
+use crate::decide::strikes::{Fingerprint, StrikeStatus};
 use crate::edge::clock::Clock;
 use crate::gateway::crash::{self, Probe};
+use crate::gateway::quarantine::POLICY;
 use crate::gateway::routed_request::RoutedRequest;
 use crate::gateway::state::State;
 use crate::ids::{RequestId, ServerId};
@@ -33,6 +34,11 @@
     route: Arc<Route>,
 }
 
+/// Interval at which runs on a server of a silent zone are looked at again.
+const SILENT_ZONE_POLL: Duration = Duration::from_millis(500);
+/// Time for which they are: a cut zone is back by then, or the request has ended a server elsewhere.
+const SILENT_ZONE_MS: u64 = 20_000;
+
 type Shared = Arc<Mutex<OpenRuns<RunLabel>>>;
 
 /// The open runs of a router.
@@ -126,18 +132,44 @@
                 runs.len(),
                 finding.as_str(),
             );
-            if finding == Finding::Ended {
-                let ended_ms = match vanished.has_restarted {
-                    true => now_ms,
-                    false => now_ms.saturating_sub(LAPSE_MIN_MS),
-                };
-                runs.into_iter()
-                    .for_each(|open| record(&shared, open, ended_ms));
+            let ended_ms = match vanished.has_restarted {
+                true => now_ms,
+                false => now_ms.saturating_sub(LAPSE_MIN_MS),
+            };
+            match finding {
+                Finding::Ended => runs
+                    .into_iter()
+                    .for_each(|open| record(&shared, open, ended_ms)),
+                Finding::ZoneSilent => await_strikes(&shared, server, runs, ended_ms).await,
+                Finding::Returned | Finding::Running | Finding::Outdated => {}
             }
         });
     }
 }
 
+/// Records those runs on a server of a silent zone whose request turns out to have ended a server
+/// elsewhere, unless the server returns. With few servers in a zone, all of them may have ended under
+/// one request, which looks like a zone that is cut off.
+async fn await_strikes(
+    state: &State,
+    server: &ServerId,
+    mut runs: Vec<Open<RunLabel>>,
+    ended_ms: u64,
+) {
+    let until_ms = state.now_ms() + SILENT_ZONE_MS;
+    while !runs.is_empty() && state.now_ms() < until_ms && !state.is_registered(server) {
+        let now_ms = state.now_ms();
+        let (struck, clear): (Vec<_>, Vec<_>) = runs.into_iter().partition(|open| {
+            state.strikes.status(open.run.request, now_ms, POLICY) != StrikeStatus::Clear
+        });
+        struck
+            .into_iter()
+            .for_each(|open| record(state, open, ended_ms));
+        runs = clear;
+        smol::Timer::after(SILENT_ZONE_POLL).await;
+    }
+}
+
 fn record(state: &State, open: Open<RunLabel>, ended_ms: u64) {
     let Open { mut run, label, .. } = open;
     run.at_ms = ended_ms.max(run.started_ms);
--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -98,8 +98,7 @@
     cold_ms: Option<String>,
     load: Option<String>,
     crash_triggers: Vec<CrashTrigger>,
-    /// Whether a crash leaves all connections open, without a further byte.
-    crashes_silently: bool,
+    silence_triggers: Vec<CrashTrigger>,
     is_silent: bool,
     crashes: usize,
     run_time: Duration,
@@ -111,18 +110,26 @@
 
 impl State {
     fn is_crashed_by(&self, headers: &HeaderMap, body: &[u8]) -> bool {
-        let parts = headers.get("x-prefix-hash").and_then(|v| v.to_str().ok());
-        let mut parts = parts.unwrap_or_default().split(',');
-        let body = String::from_utf8_lossy(body);
-        self.crash_triggers.iter().any(|trigger| match trigger {
-            CrashTrigger::Body(text) => body.contains(text.as_str()),
-            CrashTrigger::PromptPart(id) => {
-                parts.any(|part| part.split(':').next() == Some(id.as_str()))
-            }
-        })
+        is_triggered(&self.crash_triggers, headers, body)
+    }
+
+    fn is_silenced_by(&self, headers: &HeaderMap, body: &[u8]) -> bool {
+        is_triggered(&self.silence_triggers, headers, body)
     }
 }
 
+fn is_triggered(triggers: &[CrashTrigger], headers: &HeaderMap, body: &[u8]) -> bool {
+    let parts = headers.get("x-prefix-hash").and_then(|v| v.to_str().ok());
+    let mut parts = parts.unwrap_or_default().split(',');
+    let body = String::from_utf8_lossy(body);
+    triggers.iter().any(|trigger| match trigger {
+        CrashTrigger::Body(text) => body.contains(text.as_str()),
+        CrashTrigger::PromptPart(id) => {
+            parts.any(|part| part.split(':').next() == Some(id.as_str()))
+        }
+    })
+}
+
 /// Handle of a backend server.
 #[derive(Debug)]
 pub struct PlatformBackend {
@@ -176,10 +183,11 @@
         self.state.lock().crash_triggers.push(trigger);
     }
 
-    /// Makes the server fall silent where it would crash: its connections stay open, and nothing is
-    /// sent on them any more. New ones are accepted until [`PlatformBackend::set_listening`].
-    pub fn crash_silently(&self) {
-        self.state.lock().crashes_silently = true;
+    /// Makes the server fall silent under each request with this content: its connections stay open,
+    /// and nothing is sent on them any more. New ones are accepted until
+    /// [`PlatformBackend::set_listening`].
+    pub fn silence_under(&self, trigger: CrashTrigger) {
+        self.state.lock().silence_triggers.push(trigger);
     }
 
     /// Makes the server fall silent without a cause in a request, or go on.
@@ -405,6 +413,7 @@
     let request_id = parts.headers.get("x-request-id").cloned();
     let body = body.to_bytes();
     let is_crashing = state.lock().is_crashed_by(&parts.headers, &body);
+    let is_silencing = state.lock().is_silenced_by(&parts.headers, &body);
     let (words, style, events_before_crash) = {
         let mut state = state.lock();
         let style = state.stream_style;
@@ -424,22 +433,17 @@
     let crashing = Arc::clone(&state);
     let crash = async move {
         Timer::after(CRASH_DELAY).await;
-        {
-            let mut state = crashing.lock();
-            if state.crashes_silently {
-                state.crashes += usize::from(!state.is_silent);
-                state.is_silent = true;
-            }
-        }
-        if crashing.lock().is_silent {
-            return std::future::pending().await;
-        }
         // Several requests may crash one incarnation.
         if stop.close() {
             crashing.lock().crashes += 1;
         }
         std::future::pending().await
     };
+    if is_silencing {
+        Timer::after(CRASH_DELAY).await;
+        state.lock().is_silent = true;
+        std::future::pending::<()>().await;
+    }
     if is_crashing && (events_before_crash == 0 || !is_stream) {
         return crash.await;
     }
