Requests that were sent to a server after its end do not count against it

Cause: the end was taken to be as late as the begin of the run. A row is removed 2.4 s after the end at least, and a server starts again 1 s after it at least, so that requests sent later than that reached nobody. take_leaves_out_requests_sent_after_the_end holds it; the argument that it needs is new with this change.

--- a/src/decide/open_runs.rs
+++ b/src/decide/open_runs.rs
@@ -107,8 +107,10 @@
             .retain(|_, open| open.run.server != *server || open.run.request != request);
     }
 
-    /// Removes and returns the runs that a server had begun when it ended, `known_ms` at the latest.
-    pub fn take(&mut self, server: &ServerId, known_ms: u64) -> Vec<Open<L>> {
+    /// Removes the runs of a server whose end is known at `known_ms`, and returns those that it may
+    /// have begun when it ended, `ended_ms` at the latest. Requests that were sent later reached
+    /// nobody.
+    pub fn take(&mut self, server: &ServerId, known_ms: u64, ended_ms: u64) -> Vec<Open<L>> {
         let mut taken = Vec::new();
         let runs = std::mem::take(&mut self.runs);
         for (id, open) in runs {
@@ -116,10 +118,10 @@
                 self.runs.insert(id, open);
                 continue;
             }
-            let counts = open
+            let is_recent = open
                 .given_up_ms
                 .is_none_or(|given_up_ms| given_up_ms + GIVEN_UP_MS >= known_ms);
-            if counts {
+            if is_recent && open.run.started_ms <= ended_ms {
                 taken.push(open);
             }
         }
--- a/src/decide/open_runs/tests.rs
+++ b/src/decide/open_runs/tests.rs
@@ -13,7 +13,7 @@
 }
 
 fn taken(runs: &mut OpenRuns<()>, server: &str, known_ms: u64) -> Vec<u64> {
-    let taken = runs.take(&ServerId::from(server), known_ms);
+    let taken = runs.take(&ServerId::from(server), known_ms, known_ms);
     taken.iter().map(|open| open.run.request.0).collect()
 }
 
@@ -61,7 +61,7 @@
     let mut runs = OpenRuns::default();
     let id = runs.begin(run(1, "a", 0), ());
     runs.record_answer(id);
-    let taken = runs.take(&ServerId::from("a"), 0);
+    let taken = runs.take(&ServerId::from("a"), 0, 0);
     assert!(taken[0].run.parts.is_empty());
 }
 
@@ -81,3 +81,16 @@
     runs.begin(run(10, "a", 20 + GIVEN_UP_MS), ());
     assert_eq!(runs.runs.len(), 1);
 }
+
+/// Guards against blaming requests that were sent to a server after it had ended, while its row was
+/// still there: in the soak, one router counted eleven of them.
+#[test]
+fn take_leaves_out_requests_sent_after_the_end() {
+    let mut runs = OpenRuns::default();
+    runs.begin(run(1, "a", 1_000), ());
+    runs.begin(run(2, "a", 1_001), ());
+    let taken = runs.take(&ServerId::from("a"), 3_400, 1_000);
+    let requests: Vec<u64> = taken.iter().map(|open| open.run.request.0).collect();
+    assert_eq!(requests, [1]);
+    assert!(runs.take(&ServerId::from("a"), 3_400, 3_400).is_empty());
+}
--- a/src/gateway/silent_ends.rs
+++ b/src/gateway/silent_ends.rs
@@ -119,7 +119,11 @@
     for vanished in vanished {
         let now_ms = state.now_ms();
         let server = &vanished.registration.id;
-        let runs = state.open_runs.0.lock().take(server, now_ms);
+        let ended_ms = now_ms.saturating_sub(match vanished.has_restarted {
+            true => POLICY.restart_min_ms,
+            false => LAPSE_MIN_MS,
+        });
+        let runs = state.open_runs.0.lock().take(server, now_ms, ended_ms);
         if runs.is_empty() {
             continue;
         }
@@ -132,10 +136,6 @@
                 runs.len(),
                 finding.as_str(),
             );
-            let ended_ms = match vanished.has_restarted {
-                true => now_ms,
-                false => now_ms.saturating_sub(LAPSE_MIN_MS),
-            };
             match finding {
                 Finding::Ended => runs
                     .into_iter()
@@ -172,7 +172,7 @@
 
 fn record(state: &State, open: Open<RunLabel>, ended_ms: u64) {
     let Open { mut run, label, .. } = open;
-    run.at_ms = ended_ms.max(run.started_ms);
+    run.at_ms = ended_ms;
     crash::record(state, &label.id, &label.route.name, run);
 }
 
