--- a/src/decide/open_runs.rs
+++ b/src/decide/open_runs.rs
@@ -52,6 +52,29 @@
 
 impl<L> OpenRuns<L> {
     /// Adds a run that begins at `run.started_ms`.
+    ///
+    /// ```
+    /// use jujubeusher::decide::open_runs::OpenRuns;
+    /// use jujubeusher::decide::part_strikes::CrashedRun;
+    /// use jujubeusher::decide::strikes::Fingerprint;
+    /// use jujubeusher::ids::ServerId;
+    ///
+    /// let server = ServerId::from("i-1");
+    /// let run = CrashedRun {
+    ///     parts: Vec::new(),
+    ///     request: Fingerprint(1),
+    ///     caller: 0,
+    ///     server: server.clone(),
+    ///     started_ms: 100,
+    ///     at_ms: 100,
+    ///     is_silent: true,
+    /// };
+    /// let mut runs = OpenRuns::default();
+    /// let id = runs.begin(run, "request 1");
+    /// runs.give_up(id, 1_000);
+    /// let taken = runs.take(&server, 4_000, 1_600);
+    /// assert_eq!(taken[0].label, "request 1");
+    /// ```
     pub fn begin(&mut self, run: CrashedRun, label: L) -> RunId {
         let now_ms = run.started_ms;
         // Runs are in the order of their begin, so that the oldest ones are first.
--- a/src/decide/trials.rs
+++ b/src/decide/trials.rs
@@ -162,6 +162,23 @@
     }
 
     /// Returns the trials that are due, for which callers ask, and marks them as being claimed.
+    ///
+    /// ```
+    /// use jujubeusher::decide::strikes::Fingerprint;
+    /// use jujubeusher::decide::trials::{Claim, Refused, Trials};
+    ///
+    /// let refused = Refused {
+    ///     subject: Fingerprint(1),
+    ///     verdict: Fingerprint(1),
+    /// };
+    /// let mut trials = Trials::default();
+    /// trials.record_refused(refused, 0, 0);
+    /// assert!(trials.take_due(2_999).is_empty());
+    /// let due = trials.take_due(3_000);
+    /// trials.record_claim(due[0].subject, Claim::Granted { claimed: 1 }, 3_010);
+    /// assert!(trials.take(&[refused]));
+    /// assert!(!trials.take(&[refused]), "one request for each trial");
+    /// ```
     pub fn take_due(&mut self, now_ms: u64) -> Vec<Due> {
         let mut due = Vec::new();
         for (fingerprint, subject) in &mut self.subjects {
--- a/src/gateway/silent_ends.rs
+++ b/src/gateway/silent_ends.rs
@@ -27,6 +27,11 @@
 /// again, in which it may learn that a server has registered again: 6 s, and the pause of a source.
 const UPDATE_WAIT_MS: u64 = 8_000;
 
+/// Interval at which runs on a server of a silent zone are judged again.
+const SILENT_ZONE_POLL: Duration = Duration::from_millis(500);
+/// Time for which they are kept. A request that ends servers has ended one of another zone by then.
+const SILENT_ZONE_MS: u64 = 20_000;
+
 /// What logs say of an open run.
 #[derive(Debug, Clone)]
 pub struct RunLabel {
@@ -34,11 +39,6 @@
     route: Arc<Route>,
 }
 
-/// Interval at which runs on a server of a silent zone are looked at again.
-const SILENT_ZONE_POLL: Duration = Duration::from_millis(500);
-/// Time for which they are: a cut zone is back by then, or the request has ended a server elsewhere.
-const SILENT_ZONE_MS: u64 = 20_000;
-
 type Shared = Arc<Mutex<OpenRuns<RunLabel>>>;
 
 /// The open runs of a router.
