--- a/src/decide/open_runs/tests.rs
+++ b/src/decide/open_runs/tests.rs
@@ -83,7 +83,7 @@
 }
 
 /// Guards against blaming requests that were sent to a server after it had ended, while its row was
-/// still there: in the soak, one router counted eleven of them.
+/// still there: in the soak, one router counted seven of them.
 #[test]
 fn take_leaves_out_requests_sent_after_the_end() {
     let mut runs = OpenRuns::default();
