Age and origin of the tables in logs, metrics and the dump

No line said by which version a router refuses a request, from whom it has the tables, or how long they took from the store. Each update on the relay now carries its age since the read of the store, and the sender's time, from which the receiver tells how long the link took (decide::link_delay). New event table_relayed; rejected has the version and age of the routes with unknown_route and unknown_key; the dump has the position, age, and relaying router of each table; new metrics gateway_table_age_ms and gateway_relay_delay_ms. No decision changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod hint;
 pub mod learned_capacity;
 pub mod lease;
+pub mod link_delay;
 pub mod load;
 pub mod membership;
 pub mod memory_budget;
--- a/src/gateway/allowances.rs
+++ b/src/gateway/allowances.rs
@@ -120,6 +120,7 @@
     pub fn render_metrics(&self) -> Vec<u8> {
         self.record_held_back();
         self.record_memory();
+        self.record_table_ages();
         let units = self.allowances.take_unrecorded();
         self.metrics.count_allowance_units(units);
         self.metrics.render()
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -57,6 +57,8 @@
     /// Oldest position from which all changes are known.
     history_start: Position,
     is_unavailable: bool,
+    /// Time of the newest read of the source that the copy covers, in monotonic ms; 0 before the first.
+    read_ms: u64,
     subscribers: Vec<Sender<Update>>,
 }
 
@@ -98,6 +100,14 @@
         self.state.lock().position
     }
 
+    /// Time since the read of the source that the copy covers, whichever router read it; `None` before
+    /// the first snapshot.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        let state = self.state.lock();
+        state.position?;
+        Some(now_ms.saturating_sub(state.read_ms))
+    }
+
     /// Whether a snapshot is to be read from the source, although no changes were missed; true once.
     pub fn take_snapshot_due(&self) -> bool {
         self.handler.take_snapshot_due()
@@ -122,12 +132,17 @@
         let verdict = check_update(state.position, rows.position, Extent::Snapshot);
         let is_restored = match verdict {
             Verdict::Ignore | Verdict::ReadSnapshot => {
+                state.record_read(rows.position, rows.read_ms);
                 self.log_ignored(&state, &rows, origin);
                 return;
             }
             Verdict::Apply => false,
             Verdict::Restore => true,
         };
+        match is_restored || state.position.is_none() {
+            true => state.read_ms = rows.read_ms,
+            false => state.record_read(rows.position, rows.read_ms),
+        }
         self.handler.begin_snapshot(rows.position.era, is_restored);
         let resolved = self.resolve(&state, rows);
         if is_restored {
@@ -154,6 +169,7 @@
         let mut state = self.state.lock();
         self.record_available(&mut state, &rows);
         let verdict = check_update(state.position, rows.position, extent);
+        state.record_read(rows.position, rows.read_ms);
         if verdict != Verdict::Apply {
             self.log_ignored(&state, &rows, origin);
             return verdict;
@@ -210,7 +226,7 @@
         Resolved {
             rows: Rows {
                 rows: content,
-                position: rows.position,
+                ..rows
             },
             published,
             kept_count,
@@ -260,6 +276,14 @@
 }
 
 impl State {
+    /// Records a read of the source that brought it up to `position`. Only one of the copy's era says
+    /// how old the copy is.
+    fn record_read(&mut self, position: Position, read_ms: u64) {
+        if self.position.is_some_and(|known| known.era == position.era) {
+            self.read_ms = self.read_ms.max(read_ms);
+        }
+    }
+
     /// Sets the content without the history that led to it.
     fn restart(&mut self, rows: Rows) {
         self.rows.clear();
@@ -326,7 +350,7 @@
 
     fn snapshot(&self, position: Position) -> Arc<Rows> {
         let rows = self.rows.iter().map(current_row).collect();
-        Arc::new(Rows { rows, position })
+        self.at(rows, position)
     }
 
     /// Published changes after `known`. A row that was removed and set again is listed as removed
@@ -339,12 +363,21 @@
         });
         let changed = self.rows.iter().filter(|(_, row)| row.published_at > known);
         let rows = removed.chain(changed.map(current_row)).collect();
-        Arc::new(Rows { rows, position })
+        self.at(rows, position)
+    }
+
+    /// Rows as of the newest read of the source.
+    fn at(&self, rows: Vec<Row>, position: Position) -> Arc<Rows> {
+        Arc::new(Rows {
+            rows,
+            position,
+            read_ms: self.read_ms,
+        })
     }
 
     fn publish_changes(&mut self, rows: Vec<Row>, position: Position) {
         self.position = Some(position);
-        self.publish(&Update::Changed(Arc::new(Rows { rows, position })));
+        self.publish(&Update::Changed(self.at(rows, position)));
     }
 
     fn publish(&mut self, update: &Update) {
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -73,6 +73,7 @@
     Rows {
         rows: pairs.iter().map(row).collect(),
         position: at(position),
+        read_ms: 0,
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -114,6 +114,7 @@
         });
         let servers = Arc::new(Mirror::new("servers", servers));
         let mirrors: Mirrors = Arc::new([Arc::clone(&routes), Arc::clone(&servers)]);
+        state.set_tables(&mirrors);
         let start = relay::spawn(state, &mirrors, stop)?;
         let (shared, store) = (Arc::clone(state), Arc::clone(&self.quarantines));
         state
@@ -142,8 +143,13 @@
             standby_routers,
             start,
         };
+        let clock = &state.clock;
         let watch = |source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming| {
-            move || watch_table(Arc::clone(&source), Arc::clone(&mirror), timing.clone())
+            let clock = Arc::clone(clock);
+            move || {
+                let (source, mirror) = (Arc::clone(&source), Arc::clone(&mirror));
+                watch_table(source, mirror, timing.clone(), Arc::clone(&clock))
+            }
         };
         let runtime = &state.runtime;
         runtime.spawn_supervised(watch(self.routes, routes, routes_timing));
--- a/src/gateway/relay/copy_tables.rs
+++ b/src/gateway/relay/copy_tables.rs
@@ -46,7 +46,7 @@
             return Err(LinkError::Closed);
         }
         if message.table != NO_TABLE {
-            tables.apply(message)?;
+            tables.apply(message, relay.state.now_ms())?;
         }
     }
     Ok(())
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -105,6 +105,7 @@
                     let index = relay.state.fleet_counts.lock().index_below(link);
                     let mut message = Message {
                         index,
+                        sent_ms: Some(relay.state.now_ms()),
                         ..counts_message(&mut sent_counts, &totals.all, totals.routers)
                     };
                     let below = Claimant::Below(link);
@@ -148,6 +149,7 @@
     let message = Message {
         table: NO_TABLE,
         admission: Some(admission),
+        sent_ms: Some(relay.state.now_ms()),
         ..Message::default()
     };
     *sent_path = path;
@@ -161,6 +163,7 @@
     update: &Update,
     is_packing: bool,
 ) -> Vec<Message> {
+    let now_ms = relay.state.now_ms();
     let (rows, is_snapshot) = match update {
         Update::Unavailable => {
             return vec![Message {
@@ -177,6 +180,8 @@
         position: rows.position.version,
         era: rows.position.era.0,
         is_snapshot,
+        age_ms: Some(now_ms.saturating_sub(rows.read_ms)),
+        sent_ms: Some(now_ms),
         ..Message::default()
     };
     let mut messages = Vec::new();
--- a/src/gateway/relay/row_codec.rs
+++ b/src/gateway/relay/row_codec.rs
@@ -91,7 +91,8 @@
         }
         let mut last = self.last_packed.lock();
         // Snapshots for subscribers that come at the same moment are equal.
-        let is_same = |known: &&Packed| Arc::ptr_eq(&known.rows, rows) || known.rows == *rows;
+        let is_same =
+            |known: &&Packed| Arc::ptr_eq(&known.rows, rows) || known.rows.rows == rows.rows;
         if let Some(known) = last.as_ref().filter(is_same) {
             return Some(Arc::clone(&known.batches));
         }
--- a/src/gateway/relay/row_codec/tests.rs
+++ b/src/gateway/relay/row_codec/tests.rs
@@ -96,6 +96,7 @@
     Arc::new(Rows {
         rows: (0..count).map(server).collect(),
         position: crate::decide::table_position::Position::default(),
+        read_ms: 0,
     })
 }
 
@@ -126,6 +127,7 @@
     let large = Rows {
         rows: vec![row(Some(incompressible(60 * 1024))); 20],
         position: crate::decide::table_position::Position::default(),
+        read_ms: 0,
     };
     assert!(encoder.pack(&Arc::new(large)).is_none());
 }
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -7,10 +7,14 @@
 use rand::seq::SliceRandom;
 
 use crate::decide::fleet_counts::Scope;
+use crate::decide::link_delay::LinkDelay;
+use crate::decide::table_position::{Era, Position};
 use crate::gateway::relay::counts::{CountLink, report_counts};
 use crate::gateway::relay::table_receiver::TableReceiver;
 use crate::gateway::relay::wire::{Admission, Message};
-use crate::gateway::relay::{NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE};
+use crate::gateway::relay::{
+    Mirrors, NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE,
+};
 use crate::peer::frame::{FrameReader, LinkError};
 
 /// Maximum number of routers that are asked below one seed, which bounds the time of a search.
@@ -98,6 +102,7 @@
     let mirrors = relay.mirrors.iter();
     mirrors.for_each(|mirror| mirror.set_relayed(false));
     relay.tree.lock().clear_parents();
+    relay.state.set_relay_path(&[]);
 }
 
 async fn run_subscription(
@@ -109,6 +114,7 @@
     writer.send(&relay.introduction(is_insisting)).await?;
     // A router of an older version states no path.
     relay.tree.lock().set_parents(vec![address]);
+    relay.state.set_relay_path(&[address]);
     let feed = relay.state.strike_feed.open_link();
     let link = CountLink::open(relay, Scope::Fleet, Some(&feed), None);
     let report = async {
@@ -131,8 +137,14 @@
 ) -> Result<Ended, LinkError> {
     let mirrors = &relay.mirrors;
     let mut tables = TableReceiver::new(mirrors);
+    let mut delay = LinkDelay::default();
     loop {
         let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
+        let now_ms = relay.state.now_ms();
+        if let Some(sent_ms) = message.sent_ms {
+            let delay_ms = delay.record(sent_ms, now_ms);
+            relay.state.metrics.record_relay_delay(delay_ms);
+        }
         if let Some(admission) = &message.admission {
             if let Some(ended) = apply_admission(relay, admission)? {
                 return Ok(ended);
@@ -148,7 +160,8 @@
             }
             continue;
         }
-        tables.apply(message)?;
+        log_changes(mirrors, &message, address, delay.last_ms());
+        tables.apply(message, now_ms.saturating_sub(delay.last_ms()))?;
         if !tables.has_all() {
             continue;
         }
@@ -171,6 +184,28 @@
     }
 }
 
+/// Logs an update that changes rows, with the time since the source was read and the part of it that
+/// the link took.
+fn log_changes(mirrors: &Mirrors, message: &Message, address: SocketAddr, delay_ms: u64) {
+    let has_rows = !message.rows.is_empty() || !message.packed_rows.is_empty();
+    let Some(mirror) = mirrors.get(message.table as usize) else {
+        return;
+    };
+    if !has_rows || message.has_more {
+        return;
+    }
+    let age_ms = message.age_ms.map(|ms| ms.saturating_add(delay_ms));
+    log::info!(
+        "event=table_relayed table={} from={address} position={} age_ms={} delay_ms={delay_ms}",
+        mirror.name(),
+        Position {
+            era: Era(message.era),
+            version: message.position,
+        },
+        age_ms.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string()),
+    );
+}
+
 /// Applies the response to the introduction, or a changed path; returns how the subscription ends
 /// if the router did not accept this one.
 fn apply_admission(relay: &Relay, admission: &Admission) -> Result<Option<Ended>, LinkError> {
@@ -183,6 +218,7 @@
         return Ok(Some(Ended::Redirected(parse(&admission.redirects)?)));
     }
     let path = parse(&admission.path)?;
+    relay.state.set_relay_path(&path);
     match relay.tree.lock().set_parents(path) {
         true => Ok(None),
         false => Err(LinkError::Protocol("the path leads through this router")),
--- a/src/gateway/relay/table_receiver.rs
+++ b/src/gateway/relay/table_receiver.rs
@@ -40,8 +40,9 @@
         }
     }
 
-    /// Applies a message that concerns a table; rows wait until their update is complete.
-    pub(super) fn apply(&mut self, message: Message) -> Result<(), LinkError> {
+    /// Applies a message that concerns a table and was sent at `sent_ms` by this router's clock; rows
+    /// wait until their update is complete.
+    pub(super) fn apply(&mut self, message: Message, sent_ms: u64) -> Result<(), LinkError> {
         let table = message.table as usize;
         let (Some(mirror), Some(pending)) = (self.mirrors.get(table), self.tables.get_mut(table))
         else {
@@ -62,8 +63,10 @@
         if message.has_more {
             return Ok(());
         }
+        let age_ms = message.age_ms.unwrap_or(0);
         let rows = Rows {
             rows: std::mem::take(&mut pending.rows),
+            read_ms: sent_ms.saturating_sub(age_ms),
             position: Position {
                 era: Era(message.era),
                 version: message.position,
--- a/src/gateway/relay/table_receiver/tests.rs
+++ b/src/gateway/relay/table_receiver/tests.rs
@@ -4,6 +4,8 @@
 use crate::gateway::relay::wire;
 use crate::gateway::table::{RowEffect, TableHandler};
 
+const NOW_MS: u64 = 10_000;
+
 /// Applies every row.
 struct AnyHandler;
 
@@ -60,6 +62,7 @@
     let rows = Rows {
         rows: Vec::new(),
         position: position(2, 20),
+        read_ms: 0,
     };
     mirror.replace(rows, Origin::Source);
     [mirror]
@@ -72,8 +75,8 @@
     for era in [None, Some(1)] {
         let mirrors = mirror_in_era_2();
         let mut tables = TableReceiver::new(&mirrors);
-        tables.apply(message(era, 90, true)).unwrap();
-        tables.apply(message(era, 91, false)).unwrap();
+        tables.apply(message(era, 90, true), NOW_MS).unwrap();
+        tables.apply(message(era, 91, false), NOW_MS).unwrap();
         assert!(tables.has_all());
         assert!(!tables.is_current());
         assert_eq!(mirrors[0].position(), Some(position(2, 20)));
@@ -86,11 +89,11 @@
 fn is_current_sender_that_catches_up_is_followed() {
     let mirrors = mirror_in_era_2();
     let mut tables = TableReceiver::new(&mirrors);
-    tables.apply(message(Some(1), 90, true)).unwrap();
-    tables.apply(message(Some(2), 18, true)).unwrap();
+    tables.apply(message(Some(1), 90, true), NOW_MS).unwrap();
+    tables.apply(message(Some(2), 18, true), NOW_MS).unwrap();
     assert!(tables.is_current());
     assert_eq!(mirrors[0].position(), Some(position(2, 20)));
-    tables.apply(message(Some(2), 23, false)).unwrap();
+    tables.apply(message(Some(2), 23, false), NOW_MS).unwrap();
     assert_eq!(mirrors[0].position(), Some(position(2, 23)));
 }
 
@@ -100,6 +103,6 @@
 fn is_current_without_eras_is_followed() {
     let mirrors = [Arc::new(Mirror::new("test", Arc::new(AnyHandler)))];
     let mut tables = TableReceiver::new(&mirrors);
-    tables.apply(message(None, 90, true)).unwrap();
+    tables.apply(message(None, 90, true), NOW_MS).unwrap();
     assert!(tables.is_current());
 }
--- a/src/gateway/relay/wire.rs
+++ b/src/gateway/relay/wire.rs
@@ -78,6 +78,14 @@
     /// Units of divided limits for the receiver's subtree.
     #[prost(message, repeated, tag = "22")]
     pub grants: Vec<Grant>,
+    /// Time from the read of the source to this message, with an update of a table; absent from routers
+    /// of older versions.
+    #[prost(uint64, optional, tag = "23")]
+    pub age_ms: Option<u64>,
+    /// When the message was made, by the sender's monotonic clock; absent from routers of older
+    /// versions.
+    #[prost(uint64, optional, tag = "24")]
+    pub sent_ms: Option<u64>,
 }
 
 /// Demand for one divided limit.
--- a/src/gateway/relay/wire/tests.rs
+++ b/src/gateway/relay/wire/tests.rs
@@ -31,6 +31,8 @@
         demands: vec![Demand::default()],
         answered_report: Some(4),
         grants: vec![Grant::default()],
+        age_ms: Some(5),
+        sent_ms: Some(6),
         ..Message::default()
     };
     let older = OlderMessage::decode(message.encode_to_vec().as_slice()).unwrap();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -46,12 +46,13 @@
         Err(rejection) => {
             state.metrics.count_request(rejection.code());
             log::info!(
-                "event=rejected id={} status={} code={} after_ms={} retry_after_ms={}",
+                "event=rejected id={} status={} code={} after_ms={} retry_after_ms={}{}",
                 id.as_ref().map_or("-", |id| id.as_str()),
                 rejection.status().as_u16(),
                 rejection.code(),
                 state.now_ms().saturating_sub(arrived_ms),
                 rejection.retry_after_ms().unwrap_or(0),
+                state.routes_text(&rejection),
             );
             state.callers.reject(&rejection, id.as_ref())
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,6 +3,7 @@
 mod dump;
 mod held_back;
 mod servers;
+mod tables;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use crate::gateway::reachability::Reachability;
 use crate::gateway::server_bytes::ServerBytes;
 use crate::gateway::silent_ends::OpenRunsTable;
+use crate::gateway::state::tables::Tables;
 use crate::gateway::strike_feed::StrikeFeed;
 use crate::gateway::trials::QuarantineTrials;
 use crate::http::memory::Memory;
@@ -154,6 +156,7 @@
     /// source does not answer.
     routes_confirmed_ms: AtomicU64,
     servers_source: Mutex<Freshness>,
+    tables: RwLock<Tables>,
 }
 
 /// Default of `GatewaySettings::server_body_max_bytes`: eight bodies of 4 MiB, the largest that the
@@ -223,6 +226,7 @@
             is_stopping: AtomicBool::new(false),
             routes_confirmed_ms: AtomicU64::new(0),
             servers_source: Mutex::default(),
+            tables: RwLock::default(),
         })
     }
 
--- a/src/gateway/state/dump.rs
+++ b/src/gateway/state/dump.rs
@@ -67,6 +67,7 @@
                 "used": units.used,
                 "expired": units.expired,
             },
+            "tables": self.dump_tables(),
             "config_version": routing.as_ref().map(|routing| routing.version),
             "queues": self.queues.dump(),
             "servers": servers,
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -39,6 +39,8 @@
     pub rows: Vec<Row>,
     /// Position from which the next changes are requested.
     pub position: Position,
+    /// When the source was read, by the monotonic clock of this router, in ms.
+    pub read_ms: u64,
 }
 
 /// A table of the platform that can be watched.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 
 use crate::decide::table_position::{Extent, Verdict};
+use crate::edge::clock::Clock;
 use crate::gateway::mirror::{Mirror, Origin};
 use crate::gateway::table::{Source, SourceError};
 
@@ -61,7 +62,12 @@
 
 /// Watches one source and applies its changes to `mirror`; pauses while another router relays the
 /// table. Never returns.
-pub async fn watch_table(source: Arc<dyn Source>, mirror: Arc<Mirror>, timing: PollTiming) {
+pub async fn watch_table(
+    source: Arc<dyn Source>,
+    mirror: Arc<Mirror>,
+    timing: PollTiming,
+    clock: Arc<dyn Clock>,
+) {
     if timing.standby_routers.is_some() {
         wait_for_relay(&mirror).await;
     }
@@ -82,12 +88,18 @@
         }
         let position = mirror.position();
         let position = position.filter(|_| !needs_snapshot && !is_snapshot_due);
+        let asked_ms = clock.monotonic_ms();
         let response = match position {
             None => source.read().await,
             Some(position) => source.changes(position, timing.long_poll_timeout).await,
         };
         match response {
-            Ok(rows) => {
+            Ok(mut rows) => {
+                rows.read_ms = match position {
+                    None => asked_ms,
+                    // A response without changes was true until it was sent.
+                    Some(_) => clock.monotonic_ms(),
+                };
                 if failures > 0 {
                     log::info!(
                         "event=source_back source={} failures={failures} position={}",
--- a/src/observe/explain.rs
+++ b/src/observe/explain.rs
@@ -16,7 +16,7 @@
 /// with the next connection.
 const CONTEXT_AFTER_MS: u64 = 1_000;
 /// Events that affect all requests of a router.
-const ROUTER_EVENTS: [&str; 12] = [
+const ROUTER_EVENTS: [&str; 14] = [
     "started",
     "stopping",
     "stopped",
@@ -28,6 +28,8 @@
     "relayed",
     "relay_lost",
     "relay_ended",
+    "relay_outdated",
+    "table_relayed",
     "log_dropped",
 ];
 
--- a/src/observe/gateway_metrics.rs
+++ b/src/observe/gateway_metrics.rs
@@ -35,6 +35,8 @@
     source_restores: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     held_back_servers: Gauge<u64>,
+    table_age_ms: Gauge<u64>,
+    relay_delay_ms: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -115,6 +117,18 @@
                 .u64_gauge("gateway.held_back_servers")
                 .with_description("Registered servers that get no request now, by reason")
                 .build(),
+            table_age_ms: meter
+                .u64_gauge("gateway.table_age_ms")
+                .with_description(
+                    "Time since the source was read, by this or another router, by table",
+                )
+                .build(),
+            relay_delay_ms: meter
+                .u64_gauge("gateway.relay_delay_ms")
+                .with_description(
+                    "Delay of the last message from the router that relays the tables",
+                )
+                .build(),
             exporter,
         })
     }
@@ -138,6 +152,17 @@
         self.held_back_servers.record(servers as u64, &labels);
     }
 
+    /// Records the time since the source of a table was read.
+    pub fn record_table_age(&self, table: &'static str, age_ms: u64) {
+        let labels = [KeyValue::new("table", table)];
+        self.table_age_ms.record(age_ms, &labels);
+    }
+
+    /// Records the delay of a message from the router that relays the tables.
+    pub fn record_relay_delay(&self, delay_ms: u64) {
+        self.relay_delay_ms.record(delay_ms, &[]);
+    }
+
     /// Records the bytes that requests or responses hold.
     pub fn record_held_bytes(&self, holder: &'static str, bytes: u64) {
         self.held_bytes
