--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -151,6 +151,11 @@
         state.era += 1;
     }
 
+    /// Newest version.
+    pub fn version(&self) -> u64 {
+        self.state.lock().content.version
+    }
+
     /// Number of calls since the start.
     pub fn calls(&self) -> u64 {
         self.state.lock().calls
