Subscribers of a relay get the newest content of a table, not each update in turn

Callers of several routers below one relay were refused on a route that had been added, and leaving servers got requests, for as long as updates waited in line. Cause: a relay queued up to 256 updates of a table for each subscriber and sent each whole, also when a later one replaced it, and the socket held up to 4 MB more. On the share of a 10 Mbit/s link that one of 15 subscribers has, 25 versions of a large configuration take seconds, and each message that arrived said that the link lived.

A subscription now holds its place in the changes instead of a queue. What it has not taken is merged, so that it is at most one update behind, and the send buffer of a link is 32 KiB.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -15,9 +15,6 @@
 use crate::decide::table_position::{Extent, Position, Verdict, check_update};
 use crate::gateway::table::{Row, RowEffect, Rows, TableHandler};
 
-/// Capacity of a subscriber's queue. A subscriber that falls further behind is disconnected and
-/// has to subscribe again.
-const SUBSCRIBER_QUEUE_MAX: usize = 256;
 /// Number of removed rows that are remembered, so that a subscriber that returns receives changes
 /// instead of a snapshot: more than the servers of an availability zone at the design size.
 const REMOVED_MAX: usize = 1_024;
@@ -46,20 +43,38 @@
 struct StoredRow {
     content: Bytes,
     published_at: Position,
+    /// Number of the update with that change; 0 if it was in none.
+    update: u64,
+}
+
+/// A row that was removed.
+struct RemovedRow {
+    key: String,
+    removed_at: Position,
+    /// Number of the update with the removal.
+    update: u64,
 }
 
 #[derive(Default)]
 struct State {
     rows: IndexMap<String, StoredRow>,
     position: Option<Position>,
-    /// Keys of removed rows and the positions of their removal, oldest first.
-    removed: VecDeque<(String, Position)>,
+    /// Removed rows, oldest first.
+    removed: VecDeque<RemovedRow>,
     /// Oldest position from which all changes are known.
     history_start: Position,
+    /// Number of the last update.
+    update: u64,
+    /// Number of the oldest update from which all changes are known.
+    oldest_update: u64,
     is_unavailable: bool,
     /// Time of the newest read of the source that the copy covers, in monotonic ms; 0 before the first.
     read_ms: u64,
-    subscribers: Vec<Sender<Update>>,
+    /// The changes that were computed last, between the updates with these numbers: most subscribers
+    /// need the same ones.
+    last_changes: Option<((u64, u64), Arc<Rows>)>,
+    /// Wake the subscribers; each holds at most one message.
+    subscribers: Vec<Sender<()>>,
 }
 
 /// Content that results from a snapshot.
@@ -75,7 +90,7 @@
 pub struct Mirror {
     name: &'static str,
     handler: Arc<dyn TableHandler>,
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
     is_relayed: AtomicBool,
 }
 
@@ -85,7 +100,7 @@
         Self {
             name,
             handler,
-            state: Mutex::default(),
+            state: Arc::default(),
             is_relayed: AtomicBool::new(false),
         }
     }
@@ -174,18 +189,14 @@
             self.log_ignored(&state, &rows, origin);
             return verdict;
         }
-        let mut published = Vec::new();
         for row in rows.rows {
             match self.handler.apply(&row) {
-                RowEffect::Publish => {
-                    state.store(&row, rows.position, true);
-                    published.push(row);
-                }
+                RowEffect::Publish => state.store(&row, rows.position, true),
                 RowEffect::Skip => state.store(&row, rows.position, false),
                 RowEffect::Outdated => {}
             }
         }
-        state.publish_changes(published, rows.position);
+        state.publish(rows.position);
         verdict
     }
 
@@ -249,29 +260,70 @@
         self.handler.source_unavailable();
         if !state.is_unavailable {
             state.is_unavailable = true;
-            state.publish(&Update::Unavailable);
+            state.wake_subscribers();
         }
     }
 
-    /// Subscribes to updates from now on. The first one brings a subscriber that has the content of
-    /// position `known` up to date: the changes since then, or a snapshot if they are not known.
-    pub fn subscribe(&self, known: Option<Position>) -> Receiver<Update> {
-        let (sender, receiver) = async_channel::bounded(SUBSCRIBER_QUEUE_MAX);
-        let mut state = self.state.lock();
-        if let Some(position) = state.position {
-            let is_in_history =
-                |known: &Position| known.era == position.era && *known >= state.history_start;
-            let first = match known.filter(is_in_history) {
-                Some(known) => Update::Changed(state.changes_after(known, position)),
-                None => Update::Snapshot(state.snapshot(position)),
-            };
-            let _ = sender.try_send(first);
+    /// Subscribes to updates. The first one brings a subscriber that has the content of position
+    /// `known` up to date: the changes since then, or a snapshot if they are not known.
+    pub fn subscribe(&self, known: Option<Position>) -> Subscription {
+        let (sender, changed) = async_channel::bounded(1);
+        self.state.lock().subscribers.push(sender);
+        Subscription {
+            state: Arc::clone(&self.state),
+            changed,
+            sent: Sent::Nothing { known },
+            has_sent_unavailable: false,
         }
-        if state.is_unavailable {
-            let _ = sender.try_send(Update::Unavailable);
+    }
+}
+
+/// What a subscriber has been sent.
+#[derive(Debug, Clone, Copy)]
+enum Sent {
+    /// Nothing yet; it has the content of this position from elsewhere.
+    Nothing { known: Option<Position> },
+    /// The content of the update with this number.
+    Update(u64),
+}
+
+/// A subscriber of a mirror. Changes that it has not taken are merged, so that it never falls behind
+/// by more than one update.
+pub struct Subscription {
+    state: Arc<Mutex<State>>,
+    changed: Receiver<()>,
+    sent: Sent,
+    has_sent_unavailable: bool,
+}
+
+impl Subscription {
+    /// Waits for the next update. Nothing is lost if the future is dropped.
+    pub async fn next(&mut self) -> Update {
+        loop {
+            if let Some(update) = self.try_next() {
+                return update;
+            }
+            // The state keeps its sender until the subscription is dropped.
+            let _ = self.changed.recv().await;
         }
-        state.subscribers.push(sender);
-        receiver
+    }
+
+    /// The next update, if there is one.
+    pub fn try_next(&mut self) -> Option<Update> {
+        let mut state = self.state.lock();
+        let content = state.position.and_then(|position| match self.sent {
+            Sent::Nothing { known } => Some(state.update_from(known, position)),
+            Sent::Update(sent) if sent < state.update => Some(state.update_after(sent, position)),
+            Sent::Update(_) => None,
+        });
+        if content.is_some() {
+            self.sent = Sent::Update(state.update);
+            self.has_sent_unavailable = false;
+            return content;
+        }
+        let is_due = state.is_unavailable && !self.has_sent_unavailable;
+        self.has_sent_unavailable = state.is_unavailable;
+        is_due.then_some(Update::Unavailable)
     }
 }
 
@@ -291,9 +343,9 @@
         for row in &rows.rows {
             self.store(row, rows.position, true);
         }
-        self.position = Some(rows.position);
         self.history_start = rows.position;
-        self.publish(&Update::Snapshot(Arc::new(rows)));
+        self.publish(rows.position);
+        self.oldest_update = self.update;
     }
 
     fn row(&self, key: &str) -> Option<Row> {
@@ -308,39 +360,42 @@
         let listed: IndexSet<&str> = rows.rows.iter().map(|row| row.key.as_str()).collect();
         let is_missing = |key: &&String| !listed.contains(key.as_str());
         let missing: Vec<String> = self.rows.keys().filter(is_missing).cloned().collect();
-        let removed = missing.into_iter().map(|key| Row { key, content: None });
-        let mut changed: Vec<Row> = removed.collect();
-        for row in &changed {
-            self.store(row, position, true);
+        for key in missing {
+            self.store(&Row { key, content: None }, position, true);
         }
         for row in &rows.rows {
-            let is_published = published.contains(row.key.as_str());
-            self.store(row, position, is_published);
-            if is_published {
-                changed.push(row.clone());
-            }
+            self.store(row, position, published.contains(row.key.as_str()));
         }
-        self.publish_changes(changed, position);
+        self.publish(position);
     }
 
+    /// Stores a row of the next update; `is_published` if the subscribers need the change.
     fn store(&mut self, row: &Row, position: Position, is_published: bool) {
+        let update = self.update + 1;
         let Some(content) = &row.content else {
             self.rows.swap_remove(&row.key);
-            self.removed.push_back((row.key.clone(), position));
+            self.removed.push_back(RemovedRow {
+                key: row.key.clone(),
+                removed_at: position,
+                update,
+            });
             if self.removed.len() > REMOVED_MAX
-                && let Some((_, forgotten)) = self.removed.pop_front()
+                && let Some(forgotten) = self.removed.pop_front()
             {
-                self.history_start = self.history_start.max(forgotten);
+                self.history_start = self.history_start.max(forgotten.removed_at);
+                self.oldest_update = self.oldest_update.max(forgotten.update);
             }
             return;
         };
-        let published_at = match self.rows.get(&row.key) {
-            Some(known) if !is_published => known.published_at,
-            _ => position,
+        let (published_at, update) = match self.rows.get(&row.key) {
+            _ if is_published => (position, update),
+            Some(known) => (known.published_at, known.update),
+            None => (position, 0),
         };
         let stored = StoredRow {
             content: content.clone(),
             published_at,
+            update,
         };
         match self.rows.get_mut(&row.key) {
             Some(known) => *known = stored,
@@ -348,22 +403,53 @@
         }
     }
 
+    /// Brings a subscriber that has the content of position `known` up to date.
+    fn update_from(&self, known: Option<Position>, position: Position) -> Update {
+        let is_in_history =
+            |known: &Position| known.era == position.era && *known >= self.history_start;
+        let Some(known) = known.filter(is_in_history) else {
+            return Update::Snapshot(self.snapshot(position));
+        };
+        let rows = self.changes(|at, _| at > known);
+        Update::Changed(self.at(rows, position))
+    }
+
+    /// Brings a subscriber that has the update with the number `sent` up to date.
+    fn update_after(&mut self, sent: u64, position: Position) -> Update {
+        if sent < self.oldest_update {
+            return Update::Snapshot(self.snapshot(position));
+        }
+        if let Some((known, rows)) = &self.last_changes
+            && *known == (sent, self.update)
+        {
+            return Update::Changed(Arc::clone(rows));
+        }
+        let rows = self.changes(|_, update| update > sent);
+        let rows = self.at(rows, position);
+        self.last_changes = Some(((sent, self.update), Arc::clone(&rows)));
+        Update::Changed(rows)
+    }
+
     fn snapshot(&self, position: Position) -> Arc<Rows> {
         let rows = self.rows.iter().map(current_row).collect();
         self.at(rows, position)
     }
 
-    /// Published changes after `known`. A row that was removed and set again is listed as removed
-    /// first.
-    fn changes_after(&self, known: Position, position: Position) -> Arc<Rows> {
-        let removed = self.removed.iter().filter(|(_, at)| *at > known);
-        let removed = removed.map(|(key, _)| Row {
-            key: key.clone(),
+    /// Published changes for which `is_new` holds, given the position and number of their update. A row
+    /// that was removed and set again is listed as removed first.
+    fn changes<F>(&self, is_new: F) -> Vec<Row>
+    where
+        F: Fn(Position, u64) -> bool,
+    {
+        let removed = self.removed.iter();
+        let removed = removed.filter(|row| is_new(row.removed_at, row.update));
+        let removed = removed.map(|row| Row {
+            key: row.key.clone(),
             content: None,
         });
-        let changed = self.rows.iter().filter(|(_, row)| row.published_at > known);
-        let rows = removed.chain(changed.map(current_row)).collect();
-        self.at(rows, position)
+        let changed = self.rows.iter();
+        let changed = changed.filter(|(_, row)| is_new(row.published_at, row.update));
+        removed.chain(changed.map(current_row)).collect()
     }
 
     /// Rows as of the newest read of the source.
@@ -375,15 +461,18 @@
         })
     }
 
-    fn publish_changes(&mut self, rows: Vec<Row>, position: Position) {
+    /// Completes an update up to `position`.
+    fn publish(&mut self, position: Position) {
         self.position = Some(position);
-        self.publish(&Update::Changed(self.at(rows, position)));
+        self.update += 1;
+        self.wake_subscribers();
     }
 
-    fn publish(&mut self, update: &Update) {
-        // A subscriber with a full queue has missed an update, so its channel is closed.
-        let is_sent = |sender: &Sender<Update>| sender.try_send(update.clone()).is_ok();
-        self.subscribers.retain(is_sent);
+    fn wake_subscribers(&mut self) {
+        self.subscribers.retain(|sender| !sender.is_closed());
+        // A full channel holds a message that has not been handled yet.
+        let senders = self.subscribers.iter();
+        senders.for_each(|sender| _ = sender.try_send(()));
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,7 +23,7 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
-use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::decide::fleet_counts::Scope;
@@ -55,6 +55,10 @@
 const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of times that a seed tries another one with the short pause after its start.
 const START_TRIES: u32 = 10;
+/// Send buffer that is requested for the link to a subscriber, which the system doubles. What is in it
+/// cannot be replaced by newer content; the system would let it grow to 4 MB, many seconds on a narrow
+/// link.
+const SEND_BUFFER_BYTES: usize = 16 * 1024;
 /// Table number of messages that concern no table.
 const NO_TABLE: u32 = u32::MAX;
 
@@ -156,8 +160,9 @@
     let address = settings.listen;
     let listener = std::net::TcpListener::bind(address)
         .and_then(|listener| {
-            // Accepted sockets inherit it: any host may connect, and other routers send little.
+            // Accepted sockets inherit both: any host may connect, and other routers send little.
             set_socket_recv_buffer_size(&listener, CALLER_RECEIVE_BUFFER_BYTES)?;
+            set_socket_send_buffer_size(&listener, SEND_BUFFER_BYTES)?;
             smol::Async::new(listener)
         })
         .map_err(|source| Error::Listen { address, source })?;
--- a/src/gateway/relay/copy_tables.rs
+++ b/src/gateway/relay/copy_tables.rs
@@ -65,7 +65,7 @@
     };
     send_in_time(writer, &admission).await?;
     for (table, mirror) in relay.mirrors.iter().enumerate() {
-        let Ok(content) = mirror.subscribe(None).try_recv() else {
+        let Some(content) = mirror.subscribe(None).try_next() else {
             return Ok(());
         };
         for message in encode_update(relay, table as u32, &content, true) {
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -32,7 +32,7 @@
 /// What a subscriber is sent next.
 enum Due {
     /// An update of the table with this number.
-    Table(Result<Update, RecvError>, usize),
+    Table(Update, usize),
     /// Strikes and quarantines.
     Strikes(Result<Arc<StrikeChanges>, RecvError>),
     /// Request counts.
@@ -56,7 +56,7 @@
         })
     };
     let mirrors = relay.mirrors.iter().enumerate();
-    let updates: Vec<_> = mirrors
+    let mut updates: Vec<_> = mirrors
         .map(|(table, mirror)| mirror.subscribe(known(table)))
         .collect();
     let is_packing = introduction.is_some();
@@ -71,7 +71,7 @@
     };
     let mut tick = smol::Timer::after(period);
     loop {
-        let next = updates.iter().map(|updates| Box::pin(updates.recv()));
+        let next = updates.iter_mut().map(|updates| Box::pin(updates.next()));
         let next = async {
             let (update, table, _) = select_all(next).await;
             Due::Table(update, table)
@@ -93,7 +93,6 @@
                     Ok(false)
                 }
                 Due::Table(update, table) => {
-                    let update = update.map_err(|_| LinkError::Closed)?;
                     for message in encode_update(relay, table as u32, &update, is_packing) {
                         send_in_time(writer, &message).await?;
                     }
