Strikes no longer keep tables and counts back on the links of the relay

After many crashes, leaving servers got requests and changes of the configuration came late at all routers below one relay. Cause: strikes went before tables and counts, and all that a router had recorded since the last time went in one piece. 10,000 strikes, as many as a router remembers, take 4.6 s of a subscriber's share of a 10 Mbit/s link.

Strikes are sent at most 100 at a time (some 7 KB), and tables, strikes and counts take turns where the link is slow. A new subscriber that has tables gets their changes before the known strikes; one without tables gets the strikes first, as before, since it serves requests from its first tables on. On the way up, counts go before strikes.

--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -8,7 +8,7 @@
 use crate::decide::allowance::{Claimant, Receiver};
 use crate::decide::fleet_counts::{Counts, Scope, next_changes};
 use crate::gateway::relay::allowances;
-use crate::gateway::relay::strikes::{apply_strikes, send_changes, send_snapshot};
+use crate::gateway::relay::strikes::{StrikeOutbox, apply_strikes, send_changes};
 use crate::gateway::relay::wire::{Count, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
 use crate::gateway::strike_feed::FeedLink;
@@ -118,7 +118,7 @@
     seed: Option<SocketAddr>,
 ) -> Result<(), LinkError> {
     let state = &relay.state;
-    send_snapshot(state, writer).await?;
+    let mut strikes = StrikeOutbox::open(state, feed);
     let receiver = seed.map_or(Receiver::Above, Receiver::Seed);
     let mut sent_counts = Counts::new();
     loop {
@@ -132,16 +132,16 @@
         sent.ok_or(LinkError::TimedOut)??;
         let mut tick = smol::Timer::after(COUNTS_PERIOD);
         loop {
-            let changes = async { Some(feed.changes.recv().await) };
+            let changes = async { Some(strikes.next().await) };
             let ticked = async {
                 (&mut tick).await;
                 None
             };
-            let Some(changes) = changes.or(ticked).await else {
+            // Strikes without end must not keep back the counts.
+            let Some(changes) = ticked.or(changes).await else {
                 break;
             };
-            let changes = changes.map_err(|_| LinkError::Closed)?;
-            send_changes(state, writer, &changes).await?;
+            send_changes(state, writer, &changes?).await?;
         }
     }
 }
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -1,10 +1,8 @@
 //! Updates that a router sends to one subscriber.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::RecvError;
 use futures_lite::FutureExt;
 use futures_util::future::select_all;
 use prost::Message as _;
@@ -15,7 +13,7 @@
 use crate::gateway::mirror::Update;
 use crate::gateway::relay::allowances;
 use crate::gateway::relay::counts::{COUNTS_PERIOD, counts_message};
-use crate::gateway::relay::strikes::{send_changes, send_snapshot};
+use crate::gateway::relay::strikes::{StrikeOutbox, send_changes};
 use crate::gateway::relay::wire::{self, Introduction, Message};
 use crate::gateway::relay::{NO_TABLE, Relay, SILENCE_TIMEOUT};
 use crate::gateway::strike_feed::{FeedLink, StrikeChanges};
@@ -29,17 +27,26 @@
 /// counts from above usually come first.
 const COUNTS_FALLBACK: Duration = Duration::from_millis(300);
 
+/// What a subscriber was sent last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Table,
+    Strikes,
+    Counts,
+}
+
 /// What a subscriber is sent next.
 enum Due {
     /// An update of the table with this number.
     Table(Update, usize),
     /// Strikes and quarantines.
-    Strikes(Result<Arc<StrikeChanges>, RecvError>),
+    Strikes(Result<StrikeChanges, LinkError>),
     /// Request counts.
     Counts,
 }
 
-/// Publishes strikes at once, updates of the tables, and every [`COUNTS_PERIOD`] the counts of all routers.
+/// Publishes updates of the tables and strikes at once, and every [`COUNTS_PERIOD`] the counts of all
+/// routers. Where the link is slow, they take turns.
 pub(super) async fn publish_to_subscriber(
     relay: &Relay,
     writer: &mut FrameWriter,
@@ -62,7 +69,14 @@
     let is_packing = introduction.is_some();
     let mut sent_path = Vec::new();
     send_path(relay, writer, &mut sent_path).await?;
-    send_snapshot(&relay.state, writer).await?;
+    let mut strikes = StrikeOutbox::open(&relay.state, feed);
+    let has_tables = introduction.is_some_and(|introduction| !introduction.known.is_empty());
+    if !has_tables {
+        // A router serves requests from its first tables on, and must know the quarantines then.
+        while let Some(changes) = strikes.pop_waiting() {
+            send_changes(&relay.state, writer, &changes).await?;
+        }
+    }
     let mut sent_counts = Counts::new();
     let totals_received = relay.totals_received.subscribe();
     let period = match relay.is_seed() {
@@ -70,13 +84,14 @@
         false => COUNTS_FALLBACK,
     };
     let mut tick = smol::Timer::after(period);
+    let mut last_sent = Turn::Strikes;
     loop {
         let next = updates.iter_mut().map(|updates| Box::pin(updates.next()));
         let next = async {
             let (update, table, _) = select_all(next).await;
             Due::Table(update, table)
         };
-        let strikes = async { Due::Strikes(feed.changes.recv().await) };
+        let changes = async { Due::Strikes(strikes.next().await) };
         let counts_due = async {
             let ticked = async {
                 (&mut tick).await;
@@ -86,17 +101,21 @@
             Due::Counts
         };
         let send = async {
-            match strikes.or(next).or(counts_due).await {
+            let due = match last_sent {
+                Turn::Strikes => next.or(counts_due).or(changes).await,
+                Turn::Table => counts_due.or(changes).or(next).await,
+                Turn::Counts => changes.or(next).or(counts_due).await,
+            };
+            match due {
                 Due::Strikes(changes) => {
-                    let changes = changes.map_err(|_| LinkError::Closed)?;
-                    send_changes(&relay.state, writer, &changes).await?;
-                    Ok(false)
+                    send_changes(&relay.state, writer, &changes?).await?;
+                    Ok(Turn::Strikes)
                 }
                 Due::Table(update, table) => {
                     for message in encode_update(relay, table as u32, &update, is_packing) {
                         send_in_time(writer, &message).await?;
                     }
-                    Ok(false)
+                    Ok(Turn::Table)
                 }
                 Due::Counts => {
                     send_path(relay, writer, &mut sent_path).await?;
@@ -110,12 +129,12 @@
                     let below = Claimant::Below(link);
                     allowances::add_grants(&relay.state.allowances, &mut message, below);
                     send_in_time(writer, &message).await?;
-                    Ok::<_, LinkError>(true)
+                    Ok::<_, LinkError>(Turn::Counts)
                 }
             }
         };
-        let was_tick = send.await?;
-        if was_tick {
+        last_sent = send.await?;
+        if last_sent == Turn::Counts {
             tick = smol::Timer::after(period);
         }
     }
--- a/src/gateway/relay/strikes.rs
+++ b/src/gateway/relay/strikes.rs
@@ -1,6 +1,7 @@
 //! Exchange of strikes and quarantines over the links of the relay. Each router passes on what is
 //! new to it, at once.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use crate::decide::server_limit::LimitUpdate;
@@ -11,12 +12,13 @@
 use crate::gateway::relay::wire::{self, Message};
 use crate::gateway::relay::{NO_TABLE, Relay};
 use crate::gateway::state::State;
-use crate::gateway::strike_feed::StrikeChanges;
+use crate::gateway::strike_feed::{FeedLink, StrikeChanges};
 use crate::ids::{Incarnation, ServerId};
 use crate::peer::frame::{FrameWriter, LinkError};
 
-/// Maximum number of entries in a message, which keeps it well below the largest frame.
-const ENTRIES_PER_MESSAGE_MAX: usize = 500;
+/// Maximum number of entries in a message: some 7 KB, which a subscriber's share of a link of 10 Mbit/s
+/// carries in 0.1 s.
+const ENTRIES_PER_MESSAGE_MAX: usize = 100;
 const MILLI: f64 = 1_000.0;
 
 /// Publishes the strikes that this router records. Never returns.
@@ -35,77 +37,82 @@
     }
 }
 
-/// Sends all that is known to a router that has just been linked.
-pub(super) async fn send_snapshot(
-    state: &State,
-    writer: &mut FrameWriter,
-) -> Result<(), LinkError> {
-    let as_of_ms = state.now_ms();
-    let Snapshot {
-        strikes,
-        sound,
-        quarantines,
-    } = state.strikes.snapshot(as_of_ms, POLICY);
-    let changes = StrikeChanges {
-        strikes,
-        sound,
-        quarantines,
-        limits: state.reachability.limit_updates(as_of_ms),
-        as_of_ms,
-    };
-    send_changes(state, writer, &changes).await
+/// Changes that wait to be sent over one link. Each of its messages is small, so that tables and counts
+/// do not wait for many strikes.
+pub(super) struct StrikeOutbox<'a> {
+    feed: &'a FeedLink,
+    waiting: VecDeque<StrikeChanges>,
 }
 
+impl<'a> StrikeOutbox<'a> {
+    /// Opens an outbox with all that is known, for a router that has just been linked; later changes
+    /// come from `feed`.
+    pub(super) fn open(state: &State, feed: &'a FeedLink) -> Self {
+        let as_of_ms = state.now_ms();
+        let Snapshot {
+            strikes,
+            sound,
+            quarantines,
+        } = state.strikes.snapshot(as_of_ms, POLICY);
+        let changes = StrikeChanges {
+            strikes,
+            sound,
+            quarantines,
+            limits: state.reachability.limit_updates(as_of_ms),
+            as_of_ms,
+        };
+        Self {
+            feed,
+            waiting: changes.split(ENTRIES_PER_MESSAGE_MAX).into(),
+        }
+    }
+
+    /// The next changes that wait, without those that have not been taken from the feed.
+    pub(super) fn pop_waiting(&mut self) -> Option<StrikeChanges> {
+        self.waiting.pop_front()
+    }
+
+    /// Waits for the next changes. Nothing is lost if the future is dropped.
+    pub(super) async fn next(&mut self) -> Result<StrikeChanges, LinkError> {
+        loop {
+            if let Some(changes) = self.pop_waiting() {
+                return Ok(changes);
+            }
+            let changes = self.feed.changes.recv().await;
+            let changes = changes.map_err(|_| LinkError::Closed)?;
+            self.waiting = changes.split(ENTRIES_PER_MESSAGE_MAX).into();
+        }
+    }
+}
+
+/// Sends changes as one message.
 pub(super) async fn send_changes(
     state: &State,
     writer: &mut FrameWriter,
     changes: &StrikeChanges,
 ) -> Result<(), LinkError> {
     let queued_ms = state.now_ms().saturating_sub(changes.as_of_ms);
-    let empty = Message {
+    let sound_parts = changes.sound.iter().map(|sound| wire::SoundPart {
+        part: sound.part.0,
+        age_ms: sound.age_ms.saturating_add(queued_ms),
+        caller: sound.caller,
+    });
+    let strikes = changes.strikes.iter();
+    let quarantines = changes.quarantines.iter();
+    let quarantines = quarantines.map(|quarantine| wire::Quarantine {
+        fingerprint: quarantine.fingerprint.0,
+        left_ms: quarantine.left_ms.saturating_sub(queued_ms),
+    });
+    let limits = changes.limits.iter();
+    let message = Message {
         table: NO_TABLE,
+        sound_parts: sound_parts.collect(),
+        strikes: strikes.map(|strike| encode(strike, queued_ms)).collect(),
+        quarantines: quarantines.collect(),
+        server_limits: limits.map(|limit| encode_limit(limit, queued_ms)).collect(),
         ..Message::default()
     };
-    for batch in changes.sound.chunks(ENTRIES_PER_MESSAGE_MAX) {
-        let sound_parts = batch.iter().map(|sound| wire::SoundPart {
-            part: sound.part.0,
-            age_ms: sound.age_ms.saturating_add(queued_ms),
-            caller: sound.caller,
-        });
-        let message = Message {
-            sound_parts: sound_parts.collect(),
-            ..empty.clone()
-        };
-        send_in_time(writer, &message).await?;
-    }
-    for batch in changes.strikes.chunks(ENTRIES_PER_MESSAGE_MAX) {
-        let strikes = batch.iter().map(|strike| encode(strike, queued_ms));
-        let message = Message {
-            strikes: strikes.collect(),
-            ..empty.clone()
-        };
-        send_in_time(writer, &message).await?;
-    }
-    for batch in changes.quarantines.chunks(ENTRIES_PER_MESSAGE_MAX) {
-        let quarantines = batch.iter().map(|quarantine| wire::Quarantine {
-            fingerprint: quarantine.fingerprint.0,
-            left_ms: quarantine.left_ms.saturating_sub(queued_ms),
-        });
-        let message = Message {
-            quarantines: quarantines.collect(),
-            ..empty.clone()
-        };
-        send_in_time(writer, &message).await?;
-    }
-    for batch in changes.limits.chunks(ENTRIES_PER_MESSAGE_MAX) {
-        let limits = batch.iter().map(|limit| encode_limit(limit, queued_ms));
-        let message = Message {
-            server_limits: limits.collect(),
-            ..empty.clone()
-        };
-        send_in_time(writer, &message).await?;
-    }
-    Ok(())
+    send_in_time(writer, &message).await
 }
 
 fn encode(strike: &StrikeDelta, queued_ms: u64) -> wire::Strike {
--- a/src/gateway/strike_feed.rs
+++ b/src/gateway/strike_feed.rs
@@ -1,5 +1,8 @@
 //! Passes changes of the strikes and of servers' limits on to the links of the relay without delay.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -37,6 +40,32 @@
             && self.quarantines.is_empty()
             && self.limits.is_empty()
     }
+
+    /// Splits the changes into parts of at most `entries_max` entries.
+    pub fn split(&self, entries_max: usize) -> Vec<Self> {
+        let empty = || Self {
+            as_of_ms: self.as_of_ms,
+            ..Self::default()
+        };
+        let sound = self.sound.chunks(entries_max).map(|sound| Self {
+            sound: sound.to_vec(),
+            ..empty()
+        });
+        let strikes = self.strikes.chunks(entries_max).map(|strikes| Self {
+            strikes: strikes.to_vec(),
+            ..empty()
+        });
+        let quarantines = self.quarantines.chunks(entries_max).map(|some| Self {
+            quarantines: some.to_vec(),
+            ..empty()
+        });
+        let limits = self.limits.chunks(entries_max).map(|limits| Self {
+            limits: limits.to_vec(),
+            ..empty()
+        });
+        let parts = sound.chain(strikes).chain(quarantines).chain(limits);
+        parts.collect()
+    }
 }
 
 /// Queue of one link.
