Relayed tables have an age, and routers look elsewhere before the bounds are used up

A router below a relay whose tables had stopped refused added routes, and sent requests to servers that had left, for as long as the relay's counts arrived. Cause: a link on which any message arrives was taken for tables that are fresh (relay::subscribe). The same held for the confirmation of routes and keys and for the freshness of the servers, which counted from the arrival of an update.

A link whose messages wait for over 1 s is left at once, as the counts on it are old too (decide::link_delay). Reads of the servers come every 1.1 s at least, as those of the routes do, also where no server has a heartbeat.

--- a/src/decide/link_delay/tests.rs
+++ b/src/decide/link_delay/tests.rs
@@ -28,3 +28,27 @@
         delay.record(sent_ms, now_ms);
     }
 }
+
+/// Guards against a router that stays below a link whose counts and strikes are seconds old.
+#[test]
+fn is_congested_lasting_delay_is() {
+    let mut delay = LinkDelay::default();
+    let first = (0..20).find(|n| {
+        delay.record(n * 200, n * 400);
+        delay.is_congested(n * 400)
+    });
+    let first = first.expect("the link is never congested");
+    assert_eq!(delay.last_ms(), 200 * first);
+    assert!((1_000..=1_600).contains(&delay.last_ms()), "{first}");
+}
+
+/// Guards against a router that leaves a sound link after a pause of its own process.
+#[test]
+fn is_congested_messages_that_waited_during_a_pause_are_not() {
+    let mut delay = LinkDelay::default();
+    delay.record(0, 0);
+    for n in 1..=7 {
+        delay.record(n * 200, 1_500 + n);
+        assert!(!delay.is_congested(1_500 + n));
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -43,6 +43,7 @@
 pub mod server_limit;
 pub mod strikes;
 pub mod table_position;
+pub mod table_supply;
 pub mod trace;
 pub mod trials;
 pub mod version;
--- a/src/decide/relay_tree.rs
+++ b/src/decide/relay_tree.rs
@@ -131,6 +131,11 @@
         is_valid
     }
 
+    /// Number of links from the router that reads the tables to this one.
+    pub fn hops(&self) -> usize {
+        self.parents.len()
+    }
+
     /// Records that no router relays to this one.
     pub fn clear_parents(&mut self) {
         self.parents.clear();
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -206,7 +206,7 @@
         let known_era = state.position.map(|known| known.era);
         if known_era.is_none_or(|known| rows.position.era >= known) {
             state.is_unavailable = false;
-            self.handler.source_available();
+            self.handler.source_available(rows.read_ms);
         }
     }
 
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -45,7 +45,7 @@
         }
     }
 
-    fn source_available(&self) {
+    fn source_available(&self, _read_ms: u64) {
         self.1.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
     CALLER_READ_BUFFER_BYTES, CALLER_RECEIVE_BUFFER_BYTES, EXTENDED_BODY_MIN_BYTES,
 };
 use crate::decide::registry::Registration;
+use crate::decide::table_supply::READ_INTERVAL_MAX_MS;
 use crate::edge::clock::{Clock, HostClock};
 use crate::error::Result;
 use crate::gateway::mirror::Mirror;
@@ -137,9 +138,11 @@
             standby_routers: standby_routers.clone(),
             start: start.clone(),
         };
+        let servers_pause = Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR);
+        let servers_pause = servers_pause.min(LONG_POLL_TIMEOUT);
         let servers_timing = PollTiming {
-            long_poll_timeout: LONG_POLL_TIMEOUT,
-            pause: Duration::from_millis(settings.drain_ms / SERVERS_POLL_DIVISOR),
+            long_poll_timeout: READ_INTERVAL_MAX - servers_pause,
+            pause: servers_pause,
             standby_routers,
             start,
         };
@@ -163,11 +166,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time to wait, beyond a round trip, for a server's reset of a new connection.
 const RESET_WAIT: Duration = Duration::from_millis(1);
-/// Long-poll timeout of both tables. A connection may stop delivering without an error, so this
-/// bounds how long a change can go unnoticed.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time between two reads of a table.
+const READ_INTERVAL_MAX: Duration = Duration::from_millis(READ_INTERVAL_MAX_MS);
 /// Pause between two polls of the routes.
 const ROUTES_POLL_PAUSE: Duration = Duration::from_millis(100);
+/// Long-poll timeout of the routes, and longest pause between two polls of the servers. A connection
+/// may stop delivering without an error, so this bounds how long a change can go unnoticed.
+const LONG_POLL_TIMEOUT: Duration = READ_INTERVAL_MAX.saturating_sub(ROUTES_POLL_PAUSE);
 /// The pause between two polls of the servers is the drain time of a leaving server divided by
 /// this.
 const SERVERS_POLL_DIVISOR: u64 = 4;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -46,7 +46,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Silence after which a link has failed: counts are sent every 200 ms, and a seed receives a
 /// response for each table at least every 1.1 s.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_600);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(SILENCE_TIMEOUT_MS);
+const SILENCE_TIMEOUT_MS: u64 = 1_600;
 /// Pause before the seeds are tried again while this router reads the tables itself, and after
 /// other failures of a link or the listener.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_500);
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use rand::seq::SliceRandom;
@@ -9,11 +10,12 @@
 use crate::decide::fleet_counts::Scope;
 use crate::decide::link_delay::LinkDelay;
 use crate::decide::table_position::{Era, Position};
+use crate::decide::table_supply::{Supply, age_max_ms, choose_supply};
 use crate::gateway::relay::counts::{CountLink, report_counts};
 use crate::gateway::relay::table_receiver::TableReceiver;
 use crate::gateway::relay::wire::{Admission, Message};
 use crate::gateway::relay::{
-    Mirrors, NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT, START_RETRY_PAUSE,
+    Mirrors, NO_TABLE, RETRY_PAUSE, Relay, SILENCE_TIMEOUT_MS, START_RETRY_PAUSE,
 };
 use crate::peer::frame::{FrameReader, LinkError};
 
@@ -26,6 +28,10 @@
     Redirected(Vec<SocketAddr>),
     /// The router, or the one that relays to it, cannot reach the tables.
     SourceLost,
+    /// The router's tables have been outdated for long.
+    Outdated,
+    /// Messages wait for this many ms in front of the link.
+    Delayed(u64),
 }
 
 /// Subscribes below one seed after the other, and pauses after each round of failures.
@@ -35,11 +41,13 @@
     loop {
         let mut seeds = relay.settings.seeds.clone();
         seeds.shuffle(&mut rand::rng());
+        let mut was_congested = false;
         for seed in seeds {
-            search_below(&relay, seed).await;
+            was_congested |= search_below(&relay, seed).await;
         }
         let has_tables = relay.mirrors.iter().all(|m| m.position().is_some());
-        smol::Timer::after(match has_tables {
+        // A new link starts with empty buffers. Without the source, nothing else brings new content.
+        smol::Timer::after(match has_tables && !was_congested {
             true => RETRY_PAUSE,
             false => START_RETRY_PAUSE,
         })
@@ -48,8 +56,9 @@
 }
 
 /// Asks a seed and the routers to which it redirects, until one relays the tables and its link has
-/// ended, or all have refused; then insists at the seed.
-async fn search_below(relay: &Relay, seed: SocketAddr) {
+/// ended, or all have refused; then insists at the seed. Returns whether a link was left because
+/// messages waited in front of it.
+async fn search_below(relay: &Relay, seed: SocketAddr) -> bool {
     let mut candidates = vec![seed];
     let mut asked = vec![relay.settings.listen];
     let mut is_redirected = false;
@@ -63,13 +72,16 @@
                 is_redirected |= address == seed;
                 candidates.extend(redirects.into_iter().rev());
             }
-            Some(Ended::SourceLost) => return,
+            Some(Ended::SourceLost | Ended::Outdated) => return false,
+            Some(Ended::Delayed(_)) => return true,
             None => {}
         }
     }
-    if is_redirected {
-        subscribe(relay, seed, true).await;
-    }
+    let ended = match is_redirected {
+        true => subscribe(relay, seed, true).await,
+        false => None,
+    };
+    matches!(ended, Some(Ended::Delayed(_)))
 }
 
 /// Subscribes to a router and waits until the link ends; `None` if it failed.
@@ -84,6 +96,12 @@
             log::info!("event=relay_ended seed={address} reason=source_lost");
         }
         (Ok(Ended::SourceLost), false) => log::debug!("event=relay_lost_source seed={address}"),
+        (Ok(Ended::Outdated), _) => {
+            log::warn!("event=relay_ended seed={address} reason=outdated");
+        }
+        (Ok(Ended::Delayed(delay_ms)), _) => {
+            log::warn!("event=relay_ended seed={address} reason=delayed delay_ms={delay_ms}");
+        }
         (Ok(Ended::Redirected(redirects)), _) => log::debug!(
             "event=relay_redirected seed={address} routers={}",
             redirects.len()
@@ -127,8 +145,9 @@
         .await
 }
 
-/// Applies the updates of another router until the link fails, the router redirects this one, or it
-/// cannot reach the tables and has sent an update of each.
+/// Applies the updates of another router until the link fails, the router redirects this one, its
+/// tables or the link are too late for too long, or it cannot reach the tables and has sent an update of
+/// each.
 async fn receive_updates(
     relay: &Relay,
     reader: &mut FrameReader,
@@ -138,30 +157,43 @@
     let mirrors = &relay.mirrors;
     let mut tables = TableReceiver::new(mirrors);
     let mut delay = LinkDelay::default();
+    let mut heard_ms = relay.state.now_ms();
     loop {
-        let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
+        let received = reader.receive::<Message>(silence_left(relay, &tables, heard_ms));
+        let received = received.await;
         let now_ms = relay.state.now_ms();
-        if let Some(sent_ms) = message.sent_ms {
-            let delay_ms = delay.record(sent_ms, now_ms);
-            relay.state.metrics.record_relay_delay(delay_ms);
-        }
-        if let Some(admission) = &message.admission {
-            if let Some(ended) = apply_admission(relay, admission)? {
-                return Ok(ended);
+        let message = match received {
+            Ok((message, _)) => Some(message),
+            Err(LinkError::TimedOut) if now_ms < heard_ms + SILENCE_TIMEOUT_MS => None,
+            Err(error) => return Err(error),
+        };
+        if let Some(message) = message {
+            heard_ms = now_ms;
+            if let Some(sent_ms) = message.sent_ms {
+                let delay_ms = delay.record(sent_ms, now_ms);
+                relay.state.metrics.record_relay_delay(delay_ms);
             }
-            continue;
-        }
-        if message.table == NO_TABLE {
-            link.apply(&message);
-            // Messages with strikes carry no counts.
-            if message.routers > 0 {
-                relay.state.expire_fleet_totals();
-                relay.totals_received.send();
+            if delay.is_congested(now_ms) {
+                return Ok(Ended::Delayed(delay.last_ms()));
+            }
+            if let Some(admission) = &message.admission {
+                if let Some(ended) = apply_admission(relay, admission)? {
+                    return Ok(ended);
+                }
+                continue;
+            }
+            if message.table == NO_TABLE {
+                link.apply(&message);
+                // Messages with strikes carry no counts.
+                if message.routers > 0 {
+                    relay.state.expire_fleet_totals();
+                    relay.totals_received.send();
+                }
+            } else {
+                log_changes(mirrors, &message, address, delay.last_ms());
+                tables.apply(message, now_ms.saturating_sub(delay.last_ms()))?;
             }
-            continue;
         }
-        log_changes(mirrors, &message, address, delay.last_ms());
-        tables.apply(message, now_ms.saturating_sub(delay.last_ms()))?;
         if !tables.has_all() {
             continue;
         }
@@ -170,18 +202,56 @@
         if tables.is_unavailable {
             return Ok(Ended::SourceLost);
         }
-        let is_current = tables.is_current();
-        if is_current == mirrors.iter().all(|mirror| mirror.is_relayed()) {
-            continue;
+        if let Some(ended) = update_supply(relay, &tables, address, now_ms) {
+            return Ok(ended);
+        }
+    }
+}
+
+/// Time until the link counts as failed without a message, or until the next table becomes outdated if
+/// that is sooner.
+fn silence_left(relay: &Relay, tables: &TableReceiver<'_>, heard_ms: u64) -> Duration {
+    let now_ms = relay.state.now_ms();
+    let age_max_ms = age_max_ms(relay.tree.lock().hops());
+    let relayed = relay.mirrors.iter().enumerate();
+    let relayed = relayed.filter(|(_, mirror)| mirror.is_relayed());
+    let ages_ms = relayed.filter_map(|(table, _)| tables.age_ms(table, now_ms));
+    let left_ms = ages_ms.map(|age_ms| (age_max_ms + 1).saturating_sub(age_ms));
+    let silence_left_ms = (heard_ms + SILENCE_TIMEOUT_MS).saturating_sub(now_ms);
+    let left_ms = left_ms.fold(silence_left_ms, u64::min);
+    Duration::from_millis(left_ms.max(1))
+}
+
+/// Decides for each table whether this router relies on what is relayed, or reads the source; returns
+/// how the subscription ends if another router is to be sought.
+fn update_supply(
+    relay: &Relay,
+    tables: &TableReceiver<'_>,
+    address: SocketAddr,
+    now_ms: u64,
+) -> Option<Ended> {
+    let hops = relay.tree.lock().hops();
+    let was_relayed = relay.mirrors.iter().all(|mirror| mirror.is_relayed());
+    for (table, mirror) in relay.mirrors.iter().enumerate() {
+        let age_ms = tables.age_ms(table, now_ms)?;
+        let supply = choose_supply(age_ms, hops);
+        let is_current = supply == Supply::Relay && tables.is_in_era(table);
+        if mirror.is_relayed() && !is_current {
+            log::warn!(
+                "event=relay_outdated seed={address} table={} age_ms={age_ms} hops={hops}",
+                mirror.name()
+            );
         }
-        match is_current {
-            true => log::info!("event=relayed seed={address}"),
-            false => log::info!("event=relay_outdated seed={address}"),
+        mirror.set_relayed(is_current);
+        if supply == Supply::OtherRelay {
+            return Some(Ended::Outdated);
         }
-        mirrors
-            .iter()
-            .for_each(|mirror| mirror.set_relayed(is_current));
     }
+    let is_relayed = relay.mirrors.iter().all(|mirror| mirror.is_relayed());
+    if is_relayed && !was_relayed {
+        log::info!("event=relayed seed={address}");
+    }
+    None
 }
 
 /// Logs an update that changes rows, with the time since the source was read and the part of it that
--- a/src/gateway/relay/table_receiver.rs
+++ b/src/gateway/relay/table_receiver.rs
@@ -19,6 +19,8 @@
     has_received: bool,
     /// Era of the last update.
     era: Era,
+    /// When the source was read for the last update, in monotonic ms.
+    read_ms: u64,
 }
 
 /// The receiving end of one link.
@@ -73,6 +75,7 @@
             },
         };
         pending.era = rows.position.era;
+        pending.read_ms = rows.read_ms;
         match message.is_snapshot {
             true => mirror.replace(rows, Origin::Relay),
             false => _ = mirror.apply(rows, Extent::NextChanges, Origin::Relay),
@@ -86,15 +89,20 @@
         self.tables.iter().all(|table| table.has_received)
     }
 
-    /// Whether the mirrors are in the sender's era of each table. The updates of a sender in an
-    /// earlier era, or one that states no era, change nothing here.
-    pub(super) fn is_current(&self) -> bool {
-        self.mirrors
-            .iter()
-            .zip(&self.tables)
-            .all(|(mirror, table)| {
-                let position = mirror.position();
-                position.is_some_and(|position| position.era == table.era)
-            })
+    /// Time since the sender's read of a table, or of the read of the router that relays to it; `None`
+    /// before an update of the table.
+    pub(super) fn age_ms(&self, table: usize, now_ms: u64) -> Option<u64> {
+        let table = self.tables.get(table).filter(|table| table.has_received)?;
+        Some(now_ms.saturating_sub(table.read_ms))
+    }
+
+    /// Whether the mirror of a table is in the sender's era. The updates of a sender in an earlier era,
+    /// or one that states no era, change nothing here.
+    pub(super) fn is_in_era(&self, table: usize) -> bool {
+        let (Some(mirror), Some(table)) = (self.mirrors.get(table), self.tables.get(table)) else {
+            return false;
+        };
+        let position = mirror.position();
+        position.is_some_and(|position| position.era == table.era)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -152,7 +152,7 @@
     routers_known: Arc<AtomicU32>,
     in_flight: AtomicUsize,
     is_stopping: AtomicBool,
-    /// Time of the last update of the routes, on the clock that counts suspended time; 0 while their
+    /// Time of the last read of the routes, by whichever router, on the clock that counts suspended time; 0 while their
     /// source does not answer.
     routes_confirmed_ms: AtomicU64,
     servers_source: Mutex<Freshness>,
@@ -467,14 +467,17 @@
         self.has_tables() && !self.is_stopping()
     }
 
-    /// Records an update of the routes, or that their source does not answer.
-    pub fn record_routes_source(&self, is_available: bool) {
-        let confirmed_ms = match is_available {
-            true => self.clock.boot_ms(),
-            false => 0,
-        };
+    /// Records an update of the routes that were read at `read_ms`.
+    pub fn record_routes_read(&self, read_ms: u64) {
+        let age_ms = self.now_ms().saturating_sub(read_ms);
+        let confirmed_ms = self.clock.boot_ms().saturating_sub(age_ms).max(1);
         self.routes_confirmed_ms
-            .store(confirmed_ms, Ordering::Relaxed);
+            .fetch_max(confirmed_ms, Ordering::Relaxed);
+    }
+
+    /// Records that the source of the routes does not answer.
+    pub fn record_routes_lost(&self) {
+        self.routes_confirmed_ms.store(0, Ordering::Relaxed);
     }
 
     /// Whether the routes and keys may have changed without this router's knowledge, as after a pause
--- a/src/gateway/state/servers.rs
+++ b/src/gateway/state/servers.rs
@@ -125,14 +125,14 @@
         self.registry.lock().mark_misdirected(server);
     }
 
-    /// Records an update of the servers, or that their source does not answer.
-    pub fn record_servers_source(&self, is_available: bool) {
-        let now_ms = self.now_ms();
-        let mut servers_source = self.servers_source.lock();
-        match is_available {
-            true => servers_source.record_update(now_ms),
-            false => *servers_source = Freshness::default(),
-        }
+    /// Records an update of the servers that were read at `read_ms`.
+    pub fn record_servers_read(&self, read_ms: u64) {
+        self.servers_source.lock().record_read(read_ms);
+    }
+
+    /// Records that the source of the servers does not answer.
+    pub fn record_servers_lost(&self) {
+        *self.servers_source.lock() = Freshness::default();
     }
 
     /// Whether the registrations that this router knows are up to date.
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -89,6 +89,7 @@
     /// Called when the source does not answer.
     fn source_unavailable(&self);
 
-    /// Called when the source has answered.
-    fn source_available(&self);
+    /// Called when the source has answered, with the time of the read in monotonic ms; another router
+    /// may have read it.
+    fn source_available(&self, read_ms: u64);
 }
--- a/src/gateway/table_handlers.rs
+++ b/src/gateway/table_handlers.rs
@@ -187,11 +187,11 @@
     }
 
     fn source_unavailable(&self) {
-        self.state.record_routes_source(false);
+        self.state.record_routes_lost();
     }
 
-    fn source_available(&self) {
-        self.state.record_routes_source(true);
+    fn source_available(&self, read_ms: u64) {
+        self.state.record_routes_read(read_ms);
     }
 }
 
@@ -324,13 +324,13 @@
     }
 
     fn source_unavailable(&self) {
-        self.state.record_servers_source(false);
+        self.state.record_servers_lost();
         let now_ms = self.state.now_ms();
         self.state.registry.lock().on_store_lost(now_ms);
     }
 
-    fn source_available(&self) {
-        self.state.record_servers_source(true);
+    fn source_available(&self, read_ms: u64) {
+        self.state.record_servers_read(read_ms);
         let now_ms = self.state.now_ms();
         let mut registry = self.state.registry.lock();
         registry.on_store_recovered(now_ms);
