A seed that the store turns away copies the tables of the other seeds

Callers of a seed that the store turned away, while it served the others, were refused on routes that had been added and sent to servers that had left, until the store took the seed back. Cause: a seed read the store and nothing else; it copied the tables of another seed at its start alone.

The copy states the path, so that two seeds do not take each other's old tables for new ones; their age says so as well. Its own reads go on and end the copying.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -92,6 +92,7 @@
     handler: Arc<dyn TableHandler>,
     state: Arc<Mutex<State>>,
     is_relayed: AtomicBool,
+    is_source_lost: AtomicBool,
 }
 
 impl Mirror {
@@ -102,6 +103,7 @@
             handler,
             state: Arc::default(),
             is_relayed: AtomicBool::new(false),
+            is_source_lost: AtomicBool::new(false),
         }
     }
 
@@ -138,6 +140,16 @@
         self.is_relayed.store(is_relayed, Ordering::Relaxed);
     }
 
+    /// Whether this router's last read of the source failed.
+    pub fn is_source_lost(&self) -> bool {
+        self.is_source_lost.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this router's last read of the source failed.
+    pub fn set_source_lost(&self, is_lost: bool) {
+        self.is_source_lost.store(is_lost, Ordering::Relaxed);
+    }
+
     /// Replaces the content by a snapshot, unless the copy is newer. Subscribers that have the
     /// previous content receive the differences that they need, or the whole content if the source
     /// has been restored.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -31,7 +31,7 @@
 use crate::decide::relay_tree::{Admission, RelayTree, Subscriber};
 use crate::error::{Error, Result};
 use crate::gateway::mirror::Mirror;
-use crate::gateway::relay::copy_tables::{copy_from_seeds, send_copy};
+use crate::gateway::relay::copy_tables::{copy_from_seeds, copy_while_source_lost, send_copy};
 use crate::gateway::relay::counts::{CountLink, receive_counts, report_counts};
 use crate::gateway::relay::publish::publish_to_subscriber;
 use crate::gateway::relay::row_codec::RowEncoder;
@@ -102,6 +102,13 @@
         self.settings.seeds.contains(&self.settings.listen)
     }
 
+    /// Addresses of the seeds but this router.
+    fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let own = self.settings.listen;
+        let seeds = self.settings.seeds.iter().copied();
+        seeds.filter(move |seed| *seed != own)
+    }
+
     async fn dial(
         &self,
         address: SocketAddr,
@@ -189,12 +196,13 @@
             state.fleet_counts.lock().set_root();
             let shared = Arc::clone(&relay);
             runtime.spawn_detached(async move {
-                copy_from_seeds(shared).await;
+                copy_from_seeds(Arc::clone(&shared)).await;
                 drop(copying);
+                let runtime = shared.state.runtime.clone();
+                runtime.spawn_supervised(move || copy_while_source_lost(Arc::clone(&shared)));
             });
-            let seeds = relay.settings.seeds.iter();
-            for seed in seeds.filter(|seed| **seed != address) {
-                let (relay, seed) = (Arc::clone(&relay), *seed);
+            for seed in relay.other_seeds() {
+                let relay = Arc::clone(&relay);
                 runtime.spawn_supervised(move || report_counts_to_seed(Arc::clone(&relay), seed));
             }
         }
@@ -243,8 +251,8 @@
     // Receiving the first message proves that the other router has the key.
     let (first, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
     let introduction = first.introduction.as_ref();
-    if introduction.is_some_and(|introduction| introduction.is_copying) {
-        return send_copy(relay, &mut writer).await;
+    if let Some(introduction) = introduction.filter(|introduction| introduction.is_copying) {
+        return send_copy(relay, &mut writer, introduction).await;
     }
     let subscriber = decode_subscriber(introduction)?;
     if first.is_seed {
--- a/src/gateway/relay/publish.rs
+++ b/src/gateway/relay/publish.rs
@@ -54,14 +54,7 @@
     feed: &FeedLink,
     link: u64,
 ) -> Result<(), LinkError> {
-    let known = |table: usize| {
-        let mut known = introduction.iter().flat_map(|i| &i.known);
-        let known = known.find(|known| known.table as usize == table);
-        known.map(|known| Position {
-            era: Era(known.era),
-            version: known.position,
-        })
-    };
+    let known = |table| known_position(introduction?, table);
     let mirrors = relay.mirrors.iter().enumerate();
     let mut updates: Vec<_> = mirrors
         .map(|(table, mirror)| mirror.subscribe(known(table)))
@@ -140,6 +133,16 @@
     }
 }
 
+/// Position up to which a router that introduced itself knows a table.
+pub(super) fn known_position(introduction: &Introduction, table: usize) -> Option<Position> {
+    let mut known = introduction.known.iter();
+    let known = known.find(|known| known.table as usize == table)?;
+    Some(Position {
+        era: Era(known.era),
+        version: known.position,
+    })
+}
+
 pub(super) async fn send_in_time(
     writer: &mut FrameWriter,
     message: &Message,
--- a/src/gateway/relay/subscribe.rs
+++ b/src/gateway/relay/subscribe.rs
@@ -23,7 +23,7 @@
 const SEARCH_MAX: usize = 8;
 
 /// How a subscription ended without a failure of the link.
-enum Ended {
+pub(super) enum Ended {
     /// The router did not accept this one; these may.
     Redirected(Vec<SocketAddr>),
     /// The router, or the one that relays to it, cannot reach the tables.
@@ -116,7 +116,7 @@
 }
 
 /// Records that no router relays to this one.
-fn stop_relaying(relay: &Relay) {
+pub(super) fn stop_relaying(relay: &Relay) {
     let mirrors = relay.mirrors.iter();
     mirrors.for_each(|mirror| mirror.set_relayed(false));
     relay.tree.lock().clear_parents();
@@ -278,7 +278,10 @@
 
 /// Applies the response to the introduction, or a changed path; returns how the subscription ends
 /// if the router did not accept this one.
-fn apply_admission(relay: &Relay, admission: &Admission) -> Result<Option<Ended>, LinkError> {
+pub(super) fn apply_admission(
+    relay: &Relay,
+    admission: &Admission,
+) -> Result<Option<Ended>, LinkError> {
     let parse = |addresses: &[String]| -> Result<Vec<SocketAddr>, LinkError> {
         let addresses = addresses.iter().map(|address| address.parse());
         let addresses: Result<_, _> = addresses.collect();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// Watches one source and applies its changes to `mirror`; pauses while another router relays the
-/// table. Never returns.
+/// Watches one source and applies its changes to `mirror`. A router that need not read the source pauses
+/// while another one relays the table. Never returns.
 pub async fn watch_table(
     source: Arc<dyn Source>,
     mirror: Arc<Mirror>,
@@ -80,7 +80,8 @@
     let mut is_snapshot_due = false;
     loop {
         is_snapshot_due |= mirror.take_snapshot_due();
-        if mirror.is_relayed() && !is_snapshot_due {
+        let is_standby = timing.standby_routers.is_some();
+        if is_standby && mirror.is_relayed() && !is_snapshot_due {
             // Relayed updates advance the mirror's position, so a later watch continues from there.
             failures = 0;
             smol::Timer::after(STANDBY_POLL).await;
@@ -108,6 +109,7 @@
                     );
                 }
                 failures = 0;
+                mirror.set_source_lost(false);
                 let verdict = match position {
                     None => {
                         is_snapshot_due = false;
@@ -137,6 +139,7 @@
                         mirror.name()
                     );
                 }
+                mirror.set_source_lost(true);
                 // While another router relays the table, subscribers go on receiving it.
                 if !mirror.is_relayed() {
                     mirror.mark_unavailable();
