Links whose counts are late are closed by the receiver too

Messages with counts state the sender's time in both directions, and the receiver closes a link whose messages wait for over 1 s, as a subscriber leaves such a relay. Both ends have the small send buffer.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,7 @@
 mod table_receiver;
 pub mod wire;
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,7 +57,7 @@
 const START_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of times that a seed tries another one with the short pause after its start.
 const START_TRIES: u32 = 10;
-/// Send buffer that is requested for the link to a subscriber, which the system doubles. What is in it
+/// Send buffer that is requested for each end of a link, which the system doubles. What is in it
 /// cannot be replaced by newer content; the system would let it grow to 4 MB, many seconds on a narrow
 /// link.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
@@ -115,6 +116,7 @@
     ) -> std::result::Result<(FrameWriter, FrameReader), LinkError> {
         let stream = connect(address, CONNECT_TIMEOUT).await?;
         let _ = stream.set_nodelay(true);
+        set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES).map_err(io::Error::from)?;
         handshake(stream, &self.settings.key, Side::Dialer).await
     }
 
--- a/src/gateway/relay/counts.rs
+++ b/src/gateway/relay/counts.rs
@@ -7,6 +7,7 @@
 
 use crate::decide::allowance::{Claimant, Receiver};
 use crate::decide::fleet_counts::{Counts, Scope, next_changes};
+use crate::decide::link_delay::LinkDelay;
 use crate::gateway::relay::allowances;
 use crate::gateway::relay::strikes::{StrikeOutbox, apply_strikes, send_changes};
 use crate::gateway::relay::wire::{Count, Message};
@@ -87,12 +88,22 @@
     }
 }
 
+/// Applies the counts of a subscriber or another seed, until the link ends or its messages are late.
 pub(super) async fn receive_counts(
     reader: &mut FrameReader,
     link: &CountLink<'_>,
 ) -> Result<(), LinkError> {
+    let mut delay = LinkDelay::default();
     loop {
         let (message, _) = reader.receive::<Message>(SILENCE_TIMEOUT).await?;
+        let now_ms = link.relay.state.now_ms();
+        if let Some(sent_ms) = message.sent_ms {
+            delay.record(sent_ms, now_ms);
+        }
+        if delay.is_congested(now_ms) {
+            log::warn!("event=counts_delayed delay_ms={}", delay.last_ms());
+            return Err(LinkError::TimedOut);
+        }
         link.apply(&message);
     }
 }
@@ -128,6 +139,7 @@
             allowances::add_grants(&state.allowances, &mut message, Claimant::Seed(seed));
         }
         allowances::add_report(&state.allowances, &mut message, receiver);
+        message.sent_ms = Some(state.now_ms());
         let sent = with_timeout(SILENCE_TIMEOUT, writer.send(&message)).await;
         sent.ok_or(LinkError::TimedOut)??;
         let mut tick = smol::Timer::after(COUNTS_PERIOD);
