Tables that were read before an outage do not end it

The registry then counted several short outages in place of a long one, and a server whose row lapses during an outage longer than OUTAGE_MIN_MS would count as gone instead of being kept for the time to register.

An update ends an outage only if it was read after the outage was noticed, by the age that it carries. apply_update_read_before_an_outage_does_not_end_it fails without the change.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -67,7 +67,8 @@
     update: u64,
     /// Number of the oldest update from which all changes are known.
     oldest_update: u64,
-    is_unavailable: bool,
+    /// When the source was found not to answer, in monotonic ms; `None` while it answers.
+    unavailable_since_ms: Option<u64>,
     /// Time of the newest read of the source that the copy covers, in monotonic ms; 0 before the first.
     read_ms: u64,
     /// The changes that were computed last, between the updates with these numbers: most subscribers
@@ -212,12 +213,14 @@
         verdict
     }
 
-    /// Records that the source answers, unless the update is one of an earlier era: its sender has not
-    /// noticed that the source was restored.
+    /// Records that the source answers, unless the update is one of an earlier era, whose sender has not
+    /// noticed that the source was restored, or was read before the source was lost.
     fn record_available(&self, state: &mut State, rows: &Rows) {
         let known_era = state.position.map(|known| known.era);
-        if known_era.is_none_or(|known| rows.position.era >= known) {
-            state.is_unavailable = false;
+        let is_of_era = known_era.is_none_or(|known| rows.position.era >= known);
+        let lost_ms = state.unavailable_since_ms;
+        if is_of_era && lost_ms.is_none_or(|lost_ms| rows.read_ms >= lost_ms) {
+            state.unavailable_since_ms = None;
             self.handler.source_available(rows.read_ms);
         }
     }
@@ -267,11 +270,11 @@
     }
 
     /// Records that the source does not answer this router, or the one that relays it.
-    pub fn mark_unavailable(&self) {
+    pub fn mark_unavailable(&self, now_ms: u64) {
         let mut state = self.state.lock();
         self.handler.source_unavailable();
-        if !state.is_unavailable {
-            state.is_unavailable = true;
+        if state.unavailable_since_ms.is_none() {
+            state.unavailable_since_ms = Some(now_ms);
             state.wake_subscribers();
         }
     }
@@ -333,8 +336,9 @@
             self.has_sent_unavailable = false;
             return content;
         }
-        let is_due = state.is_unavailable && !self.has_sent_unavailable;
-        self.has_sent_unavailable = state.is_unavailable;
+        let is_unavailable = state.unavailable_since_ms.is_some();
+        let is_due = is_unavailable && !self.has_sent_unavailable;
+        self.has_sent_unavailable = is_unavailable;
         is_due.then_some(Update::Unavailable)
     }
 }
--- a/src/gateway/mirror/tests.rs
+++ b/src/gateway/mirror/tests.rs
@@ -185,12 +185,12 @@
         Extent::NextChanges,
         Origin::Source,
     );
-    mirror.mark_unavailable();
+    mirror.mark_unavailable(0);
     assert_eq!(updates.try_next(), Some(changed(2, &[("a", Some("1"))])));
     assert_eq!(updates.try_next(), Some(Update::Unavailable));
     assert!(updates.try_next().is_none());
     mirror.apply(rows(3, &[]), Extent::NextChanges, Origin::Source);
-    mirror.mark_unavailable();
+    mirror.mark_unavailable(0);
     assert_eq!(updates.try_next(), Some(changed(3, &[])));
     assert_eq!(updates.try_next(), Some(Update::Unavailable));
 }
@@ -199,8 +199,8 @@
 fn mark_unavailable_is_published_once() {
     let (mirror, _) = open();
     let mut updates = mirror.subscribe(None);
-    mirror.mark_unavailable();
-    mirror.mark_unavailable();
+    mirror.mark_unavailable(0);
+    mirror.mark_unavailable(0);
     assert_eq!(updates.try_next(), Some(Update::Unavailable));
     assert!(updates.try_next().is_none());
 }
@@ -347,3 +347,25 @@
     mirror.apply(in_era(2, rows(4, &[])), Extent::NextChanges, Origin::Relay);
     assert_eq!(calls.1.load(Ordering::Relaxed), confirmed + 1);
 }
+
+/// Guards against an outage that seems over because another router relays what was read before it:
+/// servers whose rows had lapsed meanwhile would count as gone.
+#[test]
+fn apply_update_read_before_an_outage_does_not_end_it() {
+    let (mirror, calls) = open();
+    mirror.replace(rows(5, &[]), Origin::Source);
+    mirror.mark_unavailable(1_000);
+    let confirmed = calls.1.load(Ordering::Relaxed);
+    let read_at = |read_ms, position| Rows {
+        read_ms,
+        ..rows(position, &[])
+    };
+    mirror.apply(read_at(900, 6), Extent::NextChanges, Origin::Relay);
+    assert_eq!(mirror.position(), Some(at(6)));
+    assert_eq!(calls.1.load(Ordering::Relaxed), confirmed);
+    let mut updates = mirror.subscribe(Some(at(6)));
+    updates.try_next().unwrap();
+    assert_eq!(updates.try_next(), Some(Update::Unavailable));
+    mirror.apply(read_at(1_100, 7), Extent::NextChanges, Origin::Relay);
+    assert_eq!(calls.1.load(Ordering::Relaxed), confirmed + 1);
+}
--- a/src/gateway/relay/table_receiver.rs
+++ b/src/gateway/relay/table_receiver.rs
@@ -51,7 +51,7 @@
             return Err(LinkError::Protocol("the table number is unknown"));
         };
         if message.is_unavailable {
-            mirror.mark_unavailable();
+            mirror.mark_unavailable(sent_ms);
             self.is_unavailable = true;
             pending.has_received = true;
             return Ok(());
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -142,7 +142,7 @@
                 mirror.set_source_lost(true);
                 // While another router relays the table, subscribers go on receiving it.
                 if !mirror.is_relayed() {
-                    mirror.mark_unavailable();
+                    mirror.mark_unavailable(clock.monotonic_ms());
                 }
                 let routers = timing.standby_routers.as_ref();
                 let routers = routers.map_or(1, |routers| routers.load(Ordering::Relaxed));
