--- a/src/gateway/relay/copy_tables.rs
+++ b/src/gateway/relay/copy_tables.rs
@@ -38,8 +38,8 @@
     stop_relaying(relay);
 }
 
-/// Pause between two copies while the source turns this seed away. With it, the tables of the routers
-/// below are less than the age at which they look elsewhere.
+/// Pause between two copies while the source turns this seed away. It adds to the age of the tables at
+/// the routers below, which must stay under the age at which they read the source themselves.
 const COPY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Copies the tables from the other seeds for as long as this one cannot read the source. Never returns.
