--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,5 +1,6 @@
 //! Local copy of a watched table, used by this router and relayed to the routers that subscribe.
 
+mod subscription;
 #[cfg(test)]
 mod tests;
 
@@ -7,12 +8,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 
 use crate::decide::table_position::{Extent, Position, Verdict, check_update};
+use crate::gateway::mirror::subscription::Subscription;
 use crate::gateway::table::{Row, RowEffect, Rows, TableHandler};
 
 /// Number of removed rows that are remembered, so that a subscriber that returns receives changes
@@ -284,62 +286,7 @@
     pub fn subscribe(&self, known: Option<Position>) -> Subscription {
         let (sender, changed) = async_channel::bounded(1);
         self.state.lock().subscribers.push(sender);
-        Subscription {
-            state: Arc::clone(&self.state),
-            changed,
-            sent: Sent::Nothing { known },
-            has_sent_unavailable: false,
-        }
-    }
-}
-
-/// What a subscriber has been sent.
-#[derive(Debug, Clone, Copy)]
-enum Sent {
-    /// Nothing yet; it has the content of this position from elsewhere.
-    Nothing { known: Option<Position> },
-    /// The content of the update with this number.
-    Update(u64),
-}
-
-/// A subscriber of a mirror. Changes that it has not taken are merged, so that it never falls behind
-/// by more than one update.
-pub struct Subscription {
-    state: Arc<Mutex<State>>,
-    changed: Receiver<()>,
-    sent: Sent,
-    has_sent_unavailable: bool,
-}
-
-impl Subscription {
-    /// Waits for the next update. Nothing is lost if the future is dropped.
-    pub async fn next(&mut self) -> Update {
-        loop {
-            if let Some(update) = self.try_next() {
-                return update;
-            }
-            // The state keeps its sender until the subscription is dropped.
-            let _ = self.changed.recv().await;
-        }
-    }
-
-    /// The next update, if there is one.
-    pub fn try_next(&mut self) -> Option<Update> {
-        let mut state = self.state.lock();
-        let content = state.position.and_then(|position| match self.sent {
-            Sent::Nothing { known } => Some(state.update_from(known, position)),
-            Sent::Update(sent) if sent < state.update => Some(state.update_after(sent, position)),
-            Sent::Update(_) => None,
-        });
-        if content.is_some() {
-            self.sent = Sent::Update(state.update);
-            self.has_sent_unavailable = false;
-            return content;
-        }
-        let is_unavailable = state.unavailable_since_ms.is_some();
-        let is_due = is_unavailable && !self.has_sent_unavailable;
-        self.has_sent_unavailable = is_unavailable;
-        is_due.then_some(Update::Unavailable)
+        Subscription::open(Arc::clone(&self.state), changed, known)
     }
 }
 
